--- a/src/main/java/irisyard/Choice.java
+++ b/src/main/java/ferngrade/Choice.java
@@ -1,12 +1,12 @@
-package irisyard;
-
-import irisyard.Notes.Attempt;
-import irisyard.Notes.Group;
-import irisyard.Notes.Node;
-import irisyard.Notes.Peer;
-import irisyard.Notes.Request;
-import irisyard.Notes.Share;
-import irisyard.Notes.Zone;
+package ferngrade;
+
+import ferngrade.Notes.Attempt;
+import ferngrade.Notes.Group;
+import ferngrade.Notes.Node;
+import ferngrade.Notes.Peer;
+import ferngrade.Notes.Request;
+import ferngrade.Notes.Share;
+import ferngrade.Notes.Zone;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/src/main/java/irisyard/Dispatcher.java
+++ b/src/main/java/ferngrade/Dispatcher.java
@@ -1,4 +1,4 @@
-package irisyard;
+package ferngrade;
 
 import java.util.List;
 
--- a/src/main/java/irisyard/Notes.java
+++ b/src/main/java/ferngrade/Notes.java
@@ -1,9 +1,9 @@
-package irisyard;
+package ferngrade;
 
-import irisyard.Dispatcher.Job;
-import irisyard.Dispatcher.JobClass;
-import irisyard.Dispatcher.Outcome;
-import irisyard.Dispatcher.Worker;
+import ferngrade.Dispatcher.Job;
+import ferngrade.Dispatcher.JobClass;
+import ferngrade.Dispatcher.Outcome;
+import ferngrade.Dispatcher.Worker;
 import java.util.ArrayList;
 import java.util.List;
 
--- /dev/null
+++ b/src/main/java/ferngrade/cli/Cli.java
@@ -0,0 +1,46 @@
+package ferngrade.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.Properties;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IVersionProvider;
+
+/** The command line and its sub-commands. */
+@Command(name = "ferngrade", description = "A dispatcher that pushes jobs to workers.",
+        mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
+        subcommands = {Serve.class, CheckConfig.class, WireHostCommand.class, VersionCommand.class,
+            CommandLine.HelpCommand.class})
+public final class Cli implements Runnable {
+    /** The exit code for a configuration that cannot be used. */
+    static final int BAD_CONFIG = 2;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    /** Runs one sub-command; returns the exit code. */
+    public static int run(String... arguments) {
+        return new CommandLine(new Cli()).execute(arguments);
+    }
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is missing");
+    }
+
+    /** Knows the version that the build wrote down. */
+    static final class Version implements IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            Properties properties = new Properties();
+            try (InputStream file = Cli.class.getResourceAsStream("/ferngrade/version.properties")) {
+                properties.load(file);
+            } catch (IOException unreadable) {
+                throw new UncheckedIOException(unreadable);
+            }
+            return new String[] {"ferngrade " + properties.getProperty("version")};
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ferngrade/cli/WireHostCommand.java
@@ -0,0 +1,25 @@
+package ferngrade.cli;
+
+import ferngrade.wire.WireException;
+import ferngrade.wire.WireHost;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+
+/** Hosts the decisions behind the simulator's wire. */
+@Command(name = "wirehost", description = "Serves the simulator's wire on standard input and output.")
+final class WireHostCommand implements Callable<Integer> {
+    @Override
+    public Integer call() {
+        try (OutputStream out = new FileOutputStream(FileDescriptor.out)) {
+            WireHost.run(System.in, out);
+            return 0;
+        } catch (WireException | IOException broken) {
+            System.err.println("ferngrade: " + broken.getMessage());
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ferngrade/config/MemberReader.java
@@ -0,0 +1,88 @@
+package ferngrade.config;
+
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import ferngrade.Dispatcher.State;
+import ferngrade.Dispatcher.Worker;
+import ferngrade.node.Member;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads worker lists in discovery's form. */
+public final class MemberReader {
+    private final List<String> zones;
+    private final List<String> kinds;
+
+    /** One version of the list, or of changes to it. */
+    public record MemberList(long revision, boolean complete, List<Member> members) { }
+
+    /** A reader that knows the settings' names of zones and kinds. */
+    public MemberReader(List<String> zones, List<String> kinds) {
+        this.zones = zones;
+        this.kinds = kinds;
+    }
+
+    /** Reads a list; an {@link IllegalArgumentException} says what is wrong with it. */
+    public MemberList read(JsonValue json) {
+        try {
+            JsonObject list = json.asObject();
+            List<Member> members = new ArrayList<>();
+            for (JsonValue entry : list.get("members").asArray()) {
+                members.add(member(entry.asObject()));
+            }
+            return new MemberList(list.getLong("revision", 0), list.getBoolean("complete", true), members);
+        } catch (UnsupportedOperationException | NullPointerException | NumberFormatException wrongType) {
+            throw new IllegalArgumentException("not a worker list: " + wrongType.getMessage(), wrongType);
+        }
+    }
+
+    private Member member(JsonObject entry) {
+        String name = entry.get("id").asString();
+        Worker worker = new Worker(id(name), state(entry.get("phase").asString()),
+                position(zones, entry.getString("locality", ""), "locality"),
+                position(kinds, entry.getString("flavor", ""), "flavor"), entry.getInt("cell", 0),
+                entry.getDouble("up_since_ms", 0), entry.getDouble("size", 1));
+        return new Member(name, address(entry.get("host_port").asString()), worker);
+    }
+
+    /** A number that every node makes of the same name: FNV-1a, which spreads the names of a fleet well. */
+    static long id(String name) {
+        long hash = 0xcbf29ce484222325L;
+        for (int i = 0; i < name.length(); i++) {
+            hash = (hash ^ name.charAt(i)) * 0x100000001b3L;
+        }
+        return hash >>> 1;
+    }
+
+    private static State state(String phase) {
+        return switch (phase) {
+            case "active" -> State.READY;
+            case "leaving" -> State.DRAINING;
+            case "left" -> State.GONE;
+            default -> throw new IllegalArgumentException("phase is unknown: " + phase);
+        };
+    }
+
+    private static int position(List<String> names, String name, String field) {
+        int position = names.indexOf(name);
+        if (position < 0 && !names.isEmpty()) {
+            throw new IllegalArgumentException(field + " is unknown: " + name);
+        }
+        return Math.max(0, position);
+    }
+
+    /** An address of the form {@code 10.0.0.4:8081}, which must not need a look-up. */
+    public static InetSocketAddress address(String hostPort) {
+        int colon = hostPort.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(hostPort.substring(colon + 1));
+            if (colon > 0 && hostPort.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]")) {
+                return new InetSocketAddress(hostPort.substring(0, colon), port);
+            }
+        } catch (IllegalArgumentException badPort) {
+            throw new IllegalArgumentException("is not address:port: " + hostPort, badPort);
+        }
+        throw new IllegalArgumentException("is not address:port: " + hostPort);
+    }
+}
--- /dev/null
+++ b/src/main/java/ferngrade/config/NodeConfig.java
@@ -0,0 +1,152 @@
+package ferngrade.config;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import com.eclipsesource.json.ParseException;
+import ferngrade.Dispatcher.Settings;
+import ferngrade.config.MemberReader.MemberList;
+import java.io.IOException;
+import java.io.Reader;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * What one node is told at its start. {@code peerListen} and {@code peersAll} are null where nodes do not
+ * talk; {@code known} is the worker list as this node had it last, null if it never had one. Times are
+ * milliseconds.
+ */
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
+        MemberList known, Settings settings, MemberReader memberReader, double connectTimeout,
+        double connectionIdle, int mostOpen) {
+    /** Reads the file that {@code LB_CONFIG} names; the other {@code LB_*} variables take precedence. */
+    public static NodeConfig fromEnvironment(Map<String, String> environment) throws ConfigException {
+        String file = environment.get("LB_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new ConfigException("LB_CONFIG", "is not set");
+        }
+        JsonObject json = parse(file);
+        for (String field : List.of("name", "listen", "discovery")) {
+            String told = environment.get("LB_" + field.toUpperCase(Locale.ROOT));
+            if (told != null && !told.isEmpty()) {
+                json.set(field, told);
+            }
+        }
+        return read(json);
+    }
+
+    private static JsonObject parse(String file) throws ConfigException {
+        try (Reader reader = Files.newBufferedReader(Path.of(file))) {
+            return Json.parse(reader).asObject();
+        } catch (IOException | InvalidPathException unreadable) {
+            throw new ConfigException("LB_CONFIG", "cannot be read: " + unreadable.getMessage());
+        } catch (ParseException | UnsupportedOperationException malformed) {
+            throw new ConfigException("LB_CONFIG", "is not a JSON object: " + malformed.getMessage());
+        }
+    }
+
+    /** Reads a configuration; what is wrong with it is said in one line that names the field. */
+    public static NodeConfig read(JsonObject json) throws ConfigException {
+        SettingsMapping mapping = new SettingsMapping();
+        JsonValue nested = json.get("settings");
+        if (nested == null || !nested.isObject()) {
+            throw new ConfigException("settings", "is missing or not an object");
+        }
+        mapping.put(nested.asObject());
+        Settings settings;
+        try {
+            settings = mapping.build();
+        } catch (IllegalArgumentException invalid) {
+            throw new ConfigException("settings:", invalid.getMessage());
+        }
+        MemberReader reader = new MemberReader(mapping.list("Zones"), mapping.list("Kinds"));
+        List<InetSocketAddress> peers = new ArrayList<>();
+        JsonValue addresses = json.get("peers");
+        if (addresses != null && addresses.isArray()) {
+            for (JsonValue peer : addresses.asArray()) {
+                peers.add(address("peers", peer));
+            }
+        }
+        return new NodeConfig(text(json, "name"), required(json, "listen"), required(json, "discovery"),
+                seed(json), sockets(json), optional(json, "peer_listen"), peers, optional(json, "peers_all"),
+                known(json, reader), settings, reader, number(mapping, "Ceilings.ConnectTimeout", 1000),
+                number(mapping, "Ceilings.ConnIdle", 60000), (int) number(mapping, "Ceilings.OpenCap", 20000));
+    }
+
+    private static double number(SettingsMapping mapping, String path, double absent) throws ConfigException {
+        try {
+            double value = mapping.number(path, absent);
+            if (value > 0) {
+                return value;
+            }
+        } catch (IllegalArgumentException notANumber) {
+            throw new ConfigException("settings:", notANumber.getMessage());
+        }
+        throw new ConfigException("settings:", path + " must be above 0");
+    }
+
+    private static String text(JsonObject json, String field) throws ConfigException {
+        JsonValue value = json.get(field);
+        if (value == null || !value.isString() || value.asString().isEmpty()) {
+            throw new ConfigException(field, "is missing or not a text");
+        }
+        return value.asString();
+    }
+
+    private static InetSocketAddress required(JsonObject json, String field) throws ConfigException {
+        return address(field, Json.value(text(json, field)));
+    }
+
+    private static InetSocketAddress optional(JsonObject json, String field) throws ConfigException {
+        JsonValue value = json.get(field);
+        return value == null || value.isNull() ? null : address(field, value);
+    }
+
+    private static InetSocketAddress address(String field, JsonValue value) throws ConfigException {
+        try {
+            return MemberReader.address(value.asString());
+        } catch (IllegalArgumentException | UnsupportedOperationException invalid) {
+            throw new ConfigException(field, invalid.getMessage());
+        }
+    }
+
+    private static long seed(JsonObject json) throws ConfigException {
+        String hex = text(json, "seed");
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException notHex) {
+            throw new ConfigException("seed", "is not a hexadecimal number: " + hex);
+        }
+    }
+
+    private static int sockets(JsonObject json) throws ConfigException {
+        JsonValue limits = json.get("limits");
+        JsonValue sockets = limits == null || !limits.isObject() ? null : limits.asObject().get("sockets");
+        if (sockets == null) {
+            return 1024;
+        }
+        if (!sockets.isNumber() || sockets.asDouble() < 64) {
+            throw new ConfigException("limits.sockets", "must be a number of 64 or more: " + sockets);
+        }
+        return (int) sockets.asDouble();
+    }
+
+    private static MemberList known(JsonObject json, MemberReader reader) throws ConfigException {
+        JsonValue known = json.get("known");
+        if (known == null || known.isNull()) {
+            return null;
+        }
+        try {
+            return reader.read(known);
+        } catch (IllegalArgumentException invalid) {
+            throw new ConfigException("known:", invalid.getMessage());
+        }
+    }
+}
--- a/src/main/java/irisyard/wire/WireSettings.java
+++ b/src/main/java/ferngrade/config/SettingsMapping.java
@@ -1,30 +1,93 @@
-package irisyard.wire;
-
-import irisyard.Dispatcher.ColdRule;
-import irisyard.Dispatcher.Effect;
-import irisyard.Dispatcher.JobClass;
-import irisyard.Dispatcher.Limits;
-import irisyard.Dispatcher.Scope;
-import irisyard.Dispatcher.Settings;
-import irisyard.Dispatcher.Tenant;
+package ferngrade.config;
+
+import static java.util.stream.Collectors.joining;
+
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import ferngrade.Dispatcher.ColdRule;
+import ferngrade.Dispatcher.Effect;
+import ferngrade.Dispatcher.JobClass;
+import ferngrade.Dispatcher.Limits;
+import ferngrade.Dispatcher.Scope;
+import ferngrade.Dispatcher.Settings;
+import ferngrade.Dispatcher.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** Turns the wire's path=value pairs into the module's settings; paths it does not know are ignored. */
-final class WireSettings {
+/**
+ * The one mapping from the names of settings to the module's {@link Settings}, used for the simulator's wire
+ * and for a node's configuration alike. Paths that it does not know are ignored; what is out of range ends
+ * in an {@link IllegalArgumentException} that names the path.
+ */
+public final class SettingsMapping {
     private final Map<String, String> values = new HashMap<>();
 
-    void put(String pair) {
+    /** Takes in one {@code path=value} pair, the form of the wire. */
+    public void put(String pair) {
         int equals = pair.indexOf('=');
         if (equals <= 0) {
-            throw new WireException("setting is not path=value: " + pair);
+            throw new IllegalArgumentException("setting is not path=value: " + pair);
         }
         values.put(pair.substring(0, equals), pair.substring(equals + 1));
     }
 
-    Settings build() {
+    /**
+     * Takes in nested JSON, flattened to the wire's paths: {@code A.B} for members, {@code A.count} and
+     * {@code A.0} for lists of objects, commas between plain items.
+     */
+    public void put(JsonObject nested) {
+        put("", nested);
+    }
+
+    private void put(String prefix, JsonObject nested) {
+        for (JsonObject.Member member : nested) {
+            put(prefix + member.getName(), member.getValue());
+        }
+    }
+
+    private void put(String path, JsonValue value) {
+        if (value.isObject()) {
+            put(path + ".", value.asObject());
+        } else if (value.isArray()) {
+            putList(path, value.asArray());
+        } else if (!value.isNull()) {
+            values.put(path, plain(value));
+        }
+    }
+
+    private void putList(String path, JsonArray list) {
+        boolean objects = !list.isEmpty() && list.get(0).isObject();
+        if (objects) {
+            values.put(path + ".count", Integer.toString(list.size()));
+            for (int i = 0; i < list.size(); i++) {
+                put(path + "." + i, list.get(i));
+            }
+        } else {
+            values.put(path, list.values().stream().map(SettingsMapping::plain).collect(joining(",")));
+        }
+    }
+
+    private static String plain(JsonValue value) {
+        return value.isString() ? value.asString() : value.toString();
+    }
+
+    /** The items of a list of plain values, empty if the path is absent. */
+    public List<String> list(String path) {
+        String items = values.getOrDefault(path, "");
+        return items.isEmpty() ? List.of() : List.of(items.split(","));
+    }
+
+    /** A number, or {@code absent} where the path is left out. */
+    public double number(String path, double absent) {
+        String value = values.get(path);
+        return value == null || "-".equals(value) || value.isEmpty() ? absent : parse(path, value);
+    }
+
+    /** The settings as far as they were taken in. */
+    public Settings build() {
         boolean peers = flag("Ceilings.PeerMessages");
         double retryAfter = flag("Ceilings.RetryAfter") ? number("Ceilings.MaxRetryAfter", 0) : 0;
         Limits limits = new Limits((int) number("Ceilings.MostTries", 1), flag("Ceilings.SecondCopies"),
@@ -74,7 +137,7 @@
             case "idempotent" -> Effect.SAFE;
             case "deduplicated" -> Effect.KEYED;
             case "at_most_once" -> Effect.UNSAFE;
-            default -> throw new WireException(path + " is unknown: " + word);
+            default -> throw new IllegalArgumentException(path + " is unknown: " + word);
         };
     }
 
@@ -84,7 +147,7 @@
             case "all" -> Scope.ALL;
             case "zone" -> Scope.ZONE;
             case "cell" -> Scope.CELL;
-            default -> throw new WireException(path + " is unknown: " + word);
+            default -> throw new IllegalArgumentException(path + " is unknown: " + word);
         };
     }
 
@@ -93,16 +156,11 @@
         return missing ? absent : parse(path, items[i]);
     }
 
-    private double number(String path, double absent) {
-        String value = values.get(path);
-        return value == null || "-".equals(value) || value.isEmpty() ? absent : parse(path, value);
-    }
-
     private static double parse(String path, String value) {
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException notANumber) {
-            throw new WireException("setting " + path + " is not a number: " + value);
+            throw new IllegalArgumentException("setting " + path + " is not a number: " + value);
         }
     }
 
--- /dev/null
+++ b/src/main/java/ferngrade/net/BadRequestException.java
@@ -0,0 +1,10 @@
+package ferngrade.net;
+
+/** A request that cannot be used; the message tells its sender why. */
+final class BadRequestException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    BadRequestException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/main/java/ferngrade/net/NodeServer.java
@@ -0,0 +1,106 @@
+package ferngrade.net;
+
+import ferngrade.Choice;
+import ferngrade.Dispatcher.News;
+import ferngrade.config.NodeConfig;
+import ferngrade.node.Clock;
+import ferngrade.node.Log;
+import ferngrade.node.Node;
+import ferngrade.node.Timers;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** A node on sockets: puts the parts together on one event loop, and takes them down in order. */
+public final class NodeServer {
+    /** How long new connections are accepted after the word to stop, ms. */
+    private static final double GRACE = 700;
+    /** Descriptors left to the runtime, the listeners, discovery and the peers. */
+    private static final int RESERVE = 48;
+    /** Share of the other descriptors that workers' connections may take. */
+    private static final double WORKERS_SHARE = 0.3;
+
+    private final NodeConfig config;
+    private final Clock clock;
+    private final Log log;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Timers timers;
+    private final Front front;
+    private final CountDownLatch finished = new CountDownLatch(1);
+
+    private NodeServer(NodeConfig config, Clock clock, Log log) {
+        this.config = config;
+        this.clock = clock;
+        this.log = log;
+        this.timers = new Timers(clock, (millis, run) ->
+                loop.schedule(run, (long) Math.ceil(millis * 1000), TimeUnit.MICROSECONDS));
+        this.front = new Front(connections() - workerConnections());
+    }
+
+    /** Starts a node, which listens when this returns; an address in use ends in an exception. */
+    public static NodeServer start(NodeConfig config, Clock clock, Log log) throws Exception {
+        NodeServer server = new NodeServer(config, clock, log);
+        try {
+            for (ChannelFuture bound : server.loop.submit(server::assemble).get()) {
+                bound.get();
+            }
+            return server;
+        } catch (Exception failed) {
+            server.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+            throw failed;
+        }
+    }
+
+    private int connections() {
+        return config.sockets() - RESERVE;
+    }
+
+    private int workerConnections() {
+        return (int) (WORKERS_SHARE * connections());
+    }
+
+    private List<ChannelFuture> assemble() {
+        ConnectionPool pool = new ConnectionPool(clock, timers, config.connectionIdle(), workerConnections());
+        WorkerClient workers = new WorkerClient(group, clock, timers, pool, config.connectTimeout());
+        UdpPeers peers = new UdpPeers(config.peers(), config.peersAll(), log);
+        Node node = new Node(new Node.Surroundings(clock, timers, loop, workers, peers, log), config.mostOpen(),
+                actions -> new Choice(config.settings(), config.seed(), clock.now(), actions));
+        if (config.known() != null) {
+            node.members(News.STORED, config.known().members());
+        }
+        List<ChannelFuture> bound = new ArrayList<>();
+        if (config.peerListen() != null) {
+            bound.add(peers.listen(group, config.peerListen(), node::heard));
+        }
+        bound.add(front.listen(group, config.listen(), node, new RequestReader(config.settings()), clock, log));
+        new DiscoveryWatch(group, config.discovery(), config.memberReader(), node, timers, log).start();
+        return bound;
+    }
+
+    /** Where the node listens. */
+    public InetSocketAddress address() {
+        return front.address();
+    }
+
+    /**
+     * Stops in order: for a moment still accepts, ends each connection with its next answer, and finishes
+     * everything that was taken. Returns when all is done.
+     */
+    public void stop() throws InterruptedException {
+        loop.execute(() -> {
+            log.line("stopping");
+            front.drain();
+            timers.after(GRACE, () -> front.finish(finished::countDown));
+        });
+        finished.await();
+        group.shutdownGracefully(0, 1000, TimeUnit.MILLISECONDS).await();
+    }
+}
--- /dev/null
+++ b/src/main/java/ferngrade/net/UdpPeers.java
@@ -0,0 +1,73 @@
+package ferngrade.net;
+
+import ferngrade.node.Log;
+import ferngrade.node.Peers;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** Messages between nodes, one datagram each. */
+final class UdpPeers implements Peers {
+    /** The longest datagram that the tier permits. */
+    private static final int LONGEST = 256;
+
+    private final List<InetSocketAddress> addresses;
+    private final InetSocketAddress all;
+    private final Log log;
+    private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
+    private Channel channel;
+
+    UdpPeers(List<InetSocketAddress> addresses, InetSocketAddress all, Log log) {
+        this.addresses = addresses;
+        this.all = all;
+        this.log = log;
+        for (int i = 0; i < addresses.size(); i++) {
+            numbers.put(addresses.get(i), i);
+        }
+    }
+
+    /** Listens; what a known peer sends goes to {@code hearer} with the peer's number. */
+    ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, BiConsumer<Integer, byte[]> hearer) {
+        ChannelFuture bound = new Bootstrap().group(group).channel(NioDatagramChannel.class)
+                .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+                        Integer from = numbers.get(packet.sender());
+                        if (from == null || packet.content().readableBytes() > LONGEST) {
+                            log.line("datagram from no peer: " + packet.sender());
+                        } else {
+                            hearer.accept(from, ByteBufUtil.getBytes(packet.content()));
+                        }
+                    }
+
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                        log.line("peers: " + cause.getMessage());
+                    }
+                }).bind(address);
+        channel = bound.channel();
+        return bound;
+    }
+
+    @Override
+    public void tell(int peer, byte[] message) {
+        InetSocketAddress to = peer < 0 ? all : peer < addresses.size() ? addresses.get(peer) : null;
+        if (channel == null || to == null || message.length > LONGEST) {
+            log.line("message for peer " + peer + " cannot be sent");
+            return;
+        }
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message), to));
+    }
+}
--- /dev/null
+++ b/src/main/java/ferngrade/net/WorkerClient.java
@@ -0,0 +1,294 @@
+package ferngrade.net;
+
+import ferngrade.Dispatcher.Outcome;
+import ferngrade.Dispatcher.Report;
+import ferngrade.node.Call;
+import ferngrade.node.Clock;
+import ferngrade.node.Timers;
+import ferngrade.node.Workers;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BiConsumer;
+
+/** Carries attempts, their cancellations and health checks to workers over pooled connections. */
+final class WorkerClient implements Workers {
+    /** How long a health check may take, ms. */
+    private static final double CHECK_PATIENCE = 300;
+    /** How long a cancellation may take, ms. */
+    private static final double CANCEL_PATIENCE = 2000;
+
+    private final Clock clock;
+    private final Timers timers;
+    private final ConnectionPool pool;
+    private final Bootstrap bootstrap;
+
+    WorkerClient(EventLoopGroup group, Clock clock, Timers timers, ConnectionPool pool, double connectTimeout) {
+        this.clock = clock;
+        this.timers = timers;
+        this.pool = pool;
+        this.bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectTimeout))
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(),
+                                new HttpObjectAggregator(Front.MOST_BODY), new WorkerConnection(pool));
+                    }
+                });
+    }
+
+    @Override
+    public Sending send(Call call, InetSocketAddress worker, double patience, Listener listener) {
+        JobTransfer transfer = new JobTransfer(call, worker, clock.now() + patience, listener);
+        start(worker, transfer);
+        return transfer;
+    }
+
+    @Override
+    public void check(InetSocketAddress worker, BiConsumer<Outcome, Report> listener) {
+        Check check = new Check(worker, listener);
+        check.patience = timers.after(CHECK_PATIENCE, () -> check.finish(Outcome.TIMEOUT, Report.NONE));
+        start(worker, check);
+    }
+
+    private void start(InetSocketAddress worker, Transfer transfer) {
+        WorkerConnection idle = pool.take(worker);
+        if (idle != null) {
+            idle.begin(transfer);
+        } else if (!pool.reserve()) {
+            transfer.notConnected(Outcome.NEVER_SENT);
+        } else {
+            bootstrap.connect(worker).addListener((ChannelFuture connected) -> {
+                if (connected.isSuccess()) {
+                    WorkerConnection fresh = connected.channel().pipeline().get(WorkerConnection.class);
+                    fresh.opened(worker);
+                    fresh.begin(transfer);
+                } else {
+                    pool.unreserve();
+                    transfer.notConnected(Outcome.CONNECT_FAILED);
+                }
+            });
+        }
+    }
+
+    private static FullHttpRequest request(HttpMethod method, String target, InetSocketAddress worker, byte[] body) {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, target,
+                Unpooled.wrappedBuffer(body));
+        request.headers().set(HttpHeaderNames.HOST, worker.getHostString() + ":" + worker.getPort());
+        return request;
+    }
+
+    /** One request to a worker and its answer. */
+    abstract static class Transfer {
+        /** The request to write; null if there is nothing to write any more. */
+        abstract FullHttpRequest request();
+
+        /** The connection that carries the transfer from here on. */
+        void carriedBy(WorkerConnection connection) { }
+
+        void written() { }
+
+        abstract void answered(FullHttpResponse response);
+
+        /** The connection ended before the answer. */
+        abstract void broken();
+
+        abstract void notConnected(Outcome outcome);
+    }
+
+    /** An attempt: written once, and taken by the worker with a 202. */
+    private final class JobTransfer extends Transfer implements Sending {
+        private final Call call;
+        private final InetSocketAddress worker;
+        private final double until;
+        private final Listener listener;
+        private WorkerConnection carrier;
+        private boolean written;
+        private boolean taken;
+        private boolean givenUp;
+
+        JobTransfer(Call call, InetSocketAddress worker, double until, Listener listener) {
+            this.call = call;
+            this.worker = worker;
+            this.until = until;
+            this.listener = listener;
+        }
+
+        @Override
+        FullHttpRequest request() {
+            if (givenUp) {
+                return null;
+            }
+            if (!listener.mayStart()) {
+                listener.ended(Outcome.NEVER_SENT, Report.NONE);
+                return null;
+            }
+            FullHttpRequest request = WorkerClient.request(HttpMethod.valueOf(call.method()), call.target(),
+                    worker, call.body());
+            request.headers().set("Req-Id", call.id());
+            request.headers().set("Req-Deadline", Math.max(1, Math.round(until - clock.now())) + "m");
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+            if (call.repeatKey() != null) {
+                request.headers().set("Idempotency-Key", call.repeatKey());
+            }
+            return request;
+        }
+
+        @Override
+        void carriedBy(WorkerConnection connection) {
+            carrier = connection;
+        }
+
+        @Override
+        void written() {
+            written = true;
+            listener.written();
+        }
+
+        @Override
+        void answered(FullHttpResponse response) {
+            carrier = null;
+            Report report = LoadReport.parse(response.headers().get("Srv-Load"));
+            int status = response.status().code();
+            if (status == 202) {
+                taken = true;
+            } else if ((status == 503 || status == 504) && "1".equals(response.headers().get("Srv-Declined"))) {
+                listener.ended(Outcome.FULL, report);
+            } else {
+                listener.ended(Outcome.ERROR, report);
+            }
+        }
+
+        @Override
+        void broken() {
+            carrier = null;
+            // Before the last byte the worker cannot have begun; from then on nobody knows.
+            listener.ended(written ? Outcome.RESET : Outcome.CONNECT_FAILED, Report.NONE);
+        }
+
+        @Override
+        void notConnected(Outcome outcome) {
+            listener.ended(outcome, Report.NONE);
+        }
+
+        @Override
+        public void giveUp() {
+            if (givenUp) {
+                return;
+            }
+            givenUp = true;
+            if (taken) {
+                start(worker, new Cancellation(worker, call.id()));
+            } else if (carrier != null) {
+                // Closing before the 202 gives the attempt up; the connection's answer is of no use to others.
+                carrier.close();
+            }
+        }
+    }
+
+    /** Tells a worker that nobody waits for a job any more; nothing depends on its answer. */
+    private final class Cancellation extends Transfer {
+        private final InetSocketAddress worker;
+        private final String id;
+        private Timers.Timer patience;
+
+        Cancellation(InetSocketAddress worker, String id) {
+            this.worker = worker;
+            this.id = id;
+        }
+
+        @Override
+        FullHttpRequest request() {
+            return WorkerClient.request(HttpMethod.DELETE, "/jobs/" + id, worker, new byte[0]);
+        }
+
+        @Override
+        void carriedBy(WorkerConnection connection) {
+            patience = timers.after(CANCEL_PATIENCE, connection::close);
+        }
+
+        @Override
+        void answered(FullHttpResponse response) {
+            patience.cancel();
+        }
+
+        @Override
+        void broken() {
+            patience.cancel();
+        }
+
+        @Override
+        void notConnected(Outcome outcome) { }
+    }
+
+    /** A health check. */
+    private final class Check extends Transfer {
+        private final InetSocketAddress worker;
+        private final BiConsumer<Outcome, Report> listener;
+        private WorkerConnection carrier;
+        private Timers.Timer patience;
+        private boolean finished;
+
+        Check(InetSocketAddress worker, BiConsumer<Outcome, Report> listener) {
+            this.worker = worker;
+            this.listener = listener;
+        }
+
+        @Override
+        FullHttpRequest request() {
+            return finished ? null : WorkerClient.request(HttpMethod.GET, "/-/load", worker, new byte[0]);
+        }
+
+        @Override
+        void carriedBy(WorkerConnection connection) {
+            carrier = connection;
+        }
+
+        @Override
+        void answered(FullHttpResponse response) {
+            carrier = null;
+            boolean healthy = response.status().code() == 200;
+            finish(healthy ? Outcome.OK : Outcome.ERROR,
+                    LoadReport.parse(response.content().toString(StandardCharsets.UTF_8)));
+        }
+
+        @Override
+        void broken() {
+            carrier = null;
+            finish(Outcome.RESET, Report.NONE);
+        }
+
+        @Override
+        void notConnected(Outcome outcome) {
+            finish(outcome, Report.NONE);
+        }
+
+        private void finish(Outcome outcome, Report report) {
+            if (!finished) {
+                finished = true;
+                patience.cancel();
+                if (carrier != null) {
+                    carrier.close();
+                }
+                listener.accept(outcome, report);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ferngrade/node/Exchange.java
@@ -0,0 +1,73 @@
+package ferngrade.node;
+
+import ferngrade.Dispatcher.Job;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One client's request: its attempts, and whether its final answer has been given. */
+final class Exchange {
+    final Job job;
+    final Call call;
+    final List<Attempt> attempts = new ArrayList<>(2);
+    int out;
+    Timers.Timer guard;
+    private final Reply reply;
+    private boolean over;
+
+    Exchange(Job job, Call call, Reply reply) {
+        this.job = job;
+        this.call = call;
+        this.reply = reply;
+    }
+
+    boolean over() {
+        return over;
+    }
+
+    /** Ends the request for good: true for the first caller only, who owes the final answer. */
+    private boolean close() {
+        boolean first = !over;
+        over = true;
+        return first;
+    }
+
+    void served(String result) {
+        if (close()) {
+            reply.served(result);
+        }
+    }
+
+    void refused(double retryAfter) {
+        if (close()) {
+            reply.refused(retryAfter);
+        }
+    }
+
+    /** True if this was the final answer. */
+    boolean failed() {
+        boolean first = close();
+        if (first) {
+            reply.failed();
+        }
+        return first;
+    }
+
+    /** The client has gone; there is nobody to answer. */
+    void abandoned() {
+        over = true;
+    }
+
+    /** The attempt that this worker may be speaking of: the one that is out and fully written. */
+    Attempt writtenTo(String worker) {
+        for (Attempt attempt : attempts) {
+            if (attempt.running() && attempt.member.name().equals(worker)) {
+                return attempt;
+            }
+        }
+        return null;
+    }
+
+    boolean outAt(long worker) {
+        return attempts.stream().anyMatch(each -> !each.ended && each.worker == worker);
+    }
+}
--- /dev/null
+++ b/src/main/java/ferngrade/node/Node.java
@@ -0,0 +1,354 @@
+package ferngrade.node;
+
+import ferngrade.Dispatcher;
+import ferngrade.Dispatcher.Actions;
+import ferngrade.Dispatcher.Job;
+import ferngrade.Dispatcher.Outcome;
+import ferngrade.Dispatcher.Report;
+import ferngrade.Dispatcher.State;
+import ferngrade.Dispatcher.Worker;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/**
+ * A dispatcher at work, without any protocol of its own: it gathers what is ready, hands it to the decision
+ * module in one go, and then carries out what the module asked for. It owns the table of requests and their
+ * attempts and sees to it that each request gets one final answer.
+ *
+ * <p>All methods belong to one thread, the one on which {@code loop} runs its tasks.
+ */
+public final class Node {
+    /** Bytes of bodies held at a time; beyond that requests are refused, so that memory stays bounded. */
+    private static final long MOST_BYTES = 16 << 20;
+    /** What a client is told to wait that met a full table, ms. */
+    private static final double FULL_RETRY = 1000;
+    /** The node's own answer where the module owes one, ms after the request's end. */
+    private static final double GUARD = 10;
+
+    private final Clock clock;
+    private final Timers timers;
+    private final Executor loop;
+    private final Workers workers;
+    private final Peers peers;
+    private final Log log;
+    private final int mostOpen;
+    private final Dispatcher module;
+    private final Members members = new Members();
+    private final Map<String, Exchange> exchanges = new HashMap<>();
+    private long bytes;
+    private List<Runnable> ready = new ArrayList<>();
+    private List<Runnable> asked = new ArrayList<>();
+    private boolean scheduled;
+
+    /** The parties around a node. {@code loop} runs tasks later, in order, on the node's thread. */
+    public record Surroundings(Clock clock, Timers timers, Executor loop, Workers workers, Peers peers,
+            Log log) { }
+
+    /** A node around the module that {@code start} makes; it holds {@code mostOpen} requests at most. */
+    public Node(Surroundings around, int mostOpen, Function<Actions, Dispatcher> start) {
+        this.clock = around.clock();
+        this.timers = around.timers();
+        this.loop = around.loop();
+        this.workers = around.workers();
+        this.peers = around.peers();
+        this.log = around.log();
+        this.mostOpen = mostOpen;
+        this.module = start.apply(new Requests());
+        offer(() -> { });
+    }
+
+    /** True once a worker list is known, so that requests can be served. */
+    public boolean ready() {
+        return !members.isEmpty();
+    }
+
+    /** The requests that the node holds or still has attempts out for. */
+    public int open() {
+        return exchanges.size();
+    }
+
+    // ---- What comes in ----
+
+    /** Takes a request; exactly one method of {@code reply} will be called. False: its id is in use. */
+    public boolean request(Job job, Call call, Reply reply) {
+        if (exchanges.containsKey(job.id())) {
+            return false;
+        }
+        if (exchanges.size() >= mostOpen || bytes + call.body().length > MOST_BYTES) {
+            reply.refused(FULL_RETRY);
+            return true;
+        }
+        Exchange exchange = new Exchange(job, call, reply);
+        exchanges.put(job.id(), exchange);
+        bytes += call.body().length;
+        exchange.guard = timers.after(job.due() - clock.now() + GUARD, () -> overdue(exchange));
+        offer(() -> module.arrived(clock.now(), job));
+        return true;
+    }
+
+    /** The client of this request has gone. */
+    public void clientGone(String id) {
+        Exchange exchange = exchanges.get(id);
+        if (exchange != null && !exchange.over()) {
+            exchange.abandoned();
+            offer(() -> {
+                module.abandoned(clock.now(), id);
+                release(exchange);
+            });
+        }
+    }
+
+    /** A worker's word on a job; one that fits no attempt that is out is old or unknown, and ignored. */
+    public void news(News news) {
+        Exchange exchange = exchanges.get(news.id());
+        Attempt attempt = exchange == null ? null : exchange.writtenTo(news.from());
+        if (attempt == null) {
+            return;
+        }
+        offer(() -> {
+            switch (news.state()) {
+                case STARTED -> {
+                    if (!attempt.ended) {
+                        module.started(clock.now(), news.id(), attempt.number);
+                    }
+                }
+                case RUNNING -> {
+                    if (!attempt.ended) {
+                        module.progressed(clock.now(), news.id(), attempt.number, news.share());
+                    }
+                }
+                case DONE -> {
+                    if (!attempt.ended) {
+                        exchange.served(news.result());
+                    }
+                    end(attempt, Outcome.OK, news.report());
+                }
+                case FAILED -> end(attempt, Outcome.ERROR, news.report());
+                case RETURNED -> end(attempt, Outcome.FULL, news.report());
+                case LOST -> end(attempt, Outcome.RESET, news.report());
+                default -> throw new IllegalStateException("no such state: " + news.state());
+            }
+        });
+    }
+
+    /** News of the worker list. */
+    public void members(Dispatcher.News news, List<Member> entries) {
+        // Known at once, not with the next batch: the drain rule counts from the telling.
+        members.update(news, entries);
+        List<Worker> told = entries.stream().map(Member::worker).toList();
+        offer(() -> module.members(clock.now(), news, told));
+    }
+
+    /** The worker list could not be had; the last one stays. */
+    public void listFailed() {
+        offer(() -> module.listFailed(clock.now()));
+    }
+
+    /** A message from another node. */
+    public void heard(int from, byte[] message) {
+        offer(() -> module.heard(clock.now(), from, message));
+    }
+
+    // ---- The loop ----
+
+    private void offer(Runnable event) {
+        ready.add(event);
+        if (!scheduled) {
+            scheduled = true;
+            loop.execute(this::turn);
+        }
+    }
+
+    private void turn() {
+        scheduled = false;
+        List<Runnable> events = ready;
+        ready = new ArrayList<>();
+        events.forEach(this::guarded);
+        List<Runnable> actions = asked;
+        asked = new ArrayList<>();
+        actions.forEach(this::guarded);
+    }
+
+    /** One bad event must not take the others down; the request's guard still gives its final answer. */
+    private void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException broken) {
+            StackTraceElement[] trace = broken.getStackTrace();
+            log.line("module failed: " + broken + (trace.length > 0 ? " at " + trace[0] : ""));
+        }
+    }
+
+    private void overdue(Exchange exchange) {
+        if (exchange.failed()) {
+            log.line("request " + exchange.job.id() + " had no answer at its end");
+            offer(() -> {
+                module.abandoned(clock.now(), exchange.job.id());
+                release(exchange);
+            });
+        }
+    }
+
+    private void release(Exchange exchange) {
+        if (exchange.over() && exchange.out == 0 && exchanges.remove(exchange.job.id(), exchange)) {
+            exchange.guard.cancel();
+            bytes -= exchange.call.body().length;
+        }
+    }
+
+    private void end(Attempt attempt, Outcome outcome, Report report) {
+        if (attempt.ended) {
+            return;
+        }
+        attempt.ended = true;
+        if (attempt.timeout != null) {
+            attempt.timeout.cancel();
+        }
+        Exchange exchange = attempt.exchange;
+        exchange.out--;
+        double now = clock.now();
+        module.ended(now, exchange.job.id(), attempt.number, outcome, now - attempt.sentAt, exchange.over(),
+                report);
+        release(exchange);
+    }
+
+    // ---- What the module asks for ----
+
+    private void send(String id, long worker, double timeout) {
+        Exchange exchange = exchanges.get(id);
+        if (exchange == null) {
+            log.line("send for a request that is over: " + id);
+            return;
+        }
+        double now = clock.now();
+        Member member = members.get(worker);
+        boolean twice = exchange.outAt(worker);
+        Attempt attempt = new Attempt(exchange, worker, member, now);
+        exchange.attempts.add(attempt);
+        exchange.out++;
+        double left = exchange.job.due() - now;
+        if (exchange.over() || twice || left <= 0 || member == null || member.worker().state() != State.READY) {
+            offer(() -> end(attempt, Outcome.NEVER_SENT, Report.NONE));
+            return;
+        }
+        double patience = timeout > 0 ? Math.min(timeout, left) : left;
+        attempt.timeout = timers.after(patience, () -> giveUp(attempt, Outcome.TIMEOUT, Outcome.CONNECT_FAILED));
+        attempt.sending = workers.send(exchange.call, member.address(), patience, new Listener(attempt));
+    }
+
+    private void cancel(String id, int number) {
+        Exchange exchange = exchanges.get(id);
+        if (exchange != null && number < exchange.attempts.size()) {
+            giveUp(exchange.attempts.get(number), Outcome.CANCELLED, Outcome.NEVER_SENT);
+        }
+    }
+
+    private void giveUp(Attempt attempt, Outcome ifWritten, Outcome ifNot) {
+        if (!attempt.ended && attempt.sending != null) {
+            offer(() -> {
+                if (!attempt.ended) {
+                    attempt.sending.giveUp();
+                    end(attempt, attempt.written ? ifWritten : ifNot, Report.NONE);
+                }
+            });
+        }
+    }
+
+    private void check(long worker) {
+        Member member = members.get(worker);
+        if (member != null) {
+            double asked = clock.now();
+            workers.check(member.address(), (outcome, report) -> offer(() -> {
+                double now = clock.now();
+                module.checked(now, worker, outcome, now - asked, report);
+            }));
+        }
+    }
+
+    /** Hears what becomes of one attempt on its way. */
+    private final class Listener implements Workers.Listener {
+        private final Attempt attempt;
+
+        Listener(Attempt attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public boolean mayStart() {
+            return !attempt.ended && members.stands(attempt.member);
+        }
+
+        @Override
+        public void written() {
+            attempt.written = true;
+        }
+
+        @Override
+        public void ended(Outcome outcome, Report report) {
+            offer(() -> end(attempt, outcome, report));
+        }
+    }
+
+    /** Notes down what the module asks for; it is carried out when all events have been handed over. */
+    private final class Requests implements Actions {
+        @Override
+        public void send(String id, long worker, double timeout) {
+            asked.add(() -> Node.this.send(id, worker, timeout));
+        }
+
+        @Override
+        public void refuse(String id, double retryAfter) {
+            answer(id, exchange -> exchange.refused(retryAfter));
+        }
+
+        @Override
+        public void fail(String id) {
+            answer(id, Exchange::failed);
+        }
+
+        private void answer(String id, Consumer<Exchange> how) {
+            asked.add(() -> {
+                Exchange exchange = exchanges.get(id);
+                if (exchange != null) {
+                    how.accept(exchange);
+                    release(exchange);
+                }
+            });
+        }
+
+        @Override
+        public void cancel(String id, int attempt) {
+            asked.add(() -> Node.this.cancel(id, attempt));
+        }
+
+        @Override
+        public void check(long worker) {
+            asked.add(() -> Node.this.check(worker));
+        }
+
+        @Override
+        public void tell(int peer, byte[] message) {
+            asked.add(() -> peers.tell(peer, message));
+        }
+
+        @Override
+        public void timer(double after, long token) {
+            asked.add(() -> timers.after(after, () -> offer(() -> module.timer(clock.now(), token))));
+        }
+
+        @Override
+        public void watch() {
+            // The list comes unasked: a discovery watch is always up.
+        }
+
+        @Override
+        public void log(String line) {
+            asked.add(() -> log.line(line));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ferngrade/node/Reply.java
@@ -0,0 +1,13 @@
+package ferngrade.node;
+
+/** The way back to one client. The node calls exactly one of the methods, once. */
+public interface Reply {
+    /** Served: the result that a worker gave. */
+    void served(String result);
+
+    /** Refused: trying again is harmless; {@code retryAfter} ms is the wait asked for, 0 for none. */
+    void refused(double retryAfter);
+
+    /** Failed, which promises nothing about the effect. */
+    void failed();
+}
--- /dev/null
+++ b/src/main/java/ferngrade/node/Timers.java
@@ -0,0 +1,74 @@
+package ferngrade.node;
+
+import java.util.PriorityQueue;
+
+/** All timers of a node, on its {@link Clock}. Something outside calls {@link #run} when the next is due. */
+public final class Timers {
+    private final Clock clock;
+    private final Waker waker;
+    private final PriorityQueue<Timer> queue = new PriorityQueue<>();
+    private long sequence;
+    private double wakeAt = Double.POSITIVE_INFINITY;
+
+    /** Calls back later, on the node's thread. */
+    @FunctionalInterface
+    public interface Waker {
+        /** Runs this after so many milliseconds; what was asked for earlier may come too. */
+        void wakeAfter(double millis, Runnable run);
+    }
+
+    /** One timer, which can be called off. */
+    public final class Timer implements Comparable<Timer> {
+        private final double due;
+        private final long order = sequence++;
+        private final Runnable task;
+
+        private Timer(double due, Runnable task) {
+            this.due = due;
+            this.task = task;
+        }
+
+        /** Calls the timer off; no effect once it has run. */
+        public void cancel() {
+            queue.remove(this);
+        }
+
+        @Override
+        public int compareTo(Timer other) {
+            int byTime = Double.compare(due, other.due);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    /** Timers on this clock, woken by {@code waker}. */
+    public Timers(Clock clock, Waker waker) {
+        this.clock = clock;
+        this.waker = waker;
+    }
+
+    /** Runs the task after this many milliseconds, at once in the next {@link #run} if they are none. */
+    public Timer after(double millis, Runnable task) {
+        Timer timer = new Timer(clock.now() + Math.max(0, millis), task);
+        queue.add(timer);
+        wake();
+        return timer;
+    }
+
+    /** Runs everything that is due. A task set meanwhile waits for the next call, so that this one ends. */
+    public void run() {
+        wakeAt = Double.POSITIVE_INFINITY;
+        double now = clock.now();
+        long set = sequence;
+        while (!queue.isEmpty() && queue.peek().due <= now && queue.peek().order < set) {
+            queue.poll().task.run();
+        }
+        wake();
+    }
+
+    private void wake() {
+        if (!queue.isEmpty() && queue.peek().due < wakeAt) {
+            wakeAt = queue.peek().due;
+            waker.wakeAfter(Math.max(0, wakeAt - clock.now()), this::run);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ferngrade/node/Workers.java
@@ -0,0 +1,36 @@
+package ferngrade.node;
+
+import ferngrade.Dispatcher.Outcome;
+import ferngrade.Dispatcher.Report;
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+
+/** The transport that carries attempts to workers. */
+public interface Workers {
+    /**
+     * Sends the call to a worker; {@code patience} ms is how long the node will wait for its end. What
+     * becomes of it goes to the listener, never from inside this method.
+     */
+    Sending send(Call call, InetSocketAddress worker, double patience, Listener listener);
+
+    /** Asks a worker for its health and load; the answer goes to the listener. */
+    void check(InetSocketAddress worker, BiConsumer<Outcome, Report> listener);
+
+    /** One call on its way. */
+    interface Sending {
+        /** Gives the attempt up, wherever it is; the listener hears no more of it. */
+        void giveUp();
+    }
+
+    /** Hears of one call on its way. */
+    interface Listener {
+        /** Asked right before the first byte is written: false if the call must not go out any more. */
+        boolean mayStart();
+
+        /** The last byte is written: from here on the worker may run it. */
+        void written();
+
+        /** The attempt has ended; a call that the worker has taken ends by its call-back instead. */
+        void ended(Outcome outcome, Report report);
+    }
+}
--- a/src/main/java/irisyard/wire/WireException.java
+++ b/src/main/java/ferngrade/wire/WireException.java
@@ -1,7 +1,7 @@
-package irisyard.wire;
+package ferngrade.wire;
 
 /** Input that is not on the wire's terms; the message names the line and the field. */
-final class WireException extends RuntimeException {
+public final class WireException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     WireException(String message) {
--- a/src/main/java/irisyard/wire/WireHost.java
+++ b/src/main/java/ferngrade/wire/WireHost.java
@@ -1,15 +1,14 @@
-package irisyard.wire;
+package ferngrade.wire;
 
-import irisyard.Choice;
-import irisyard.Dispatcher;
-import irisyard.Dispatcher.Job;
-import irisyard.Dispatcher.News;
-import irisyard.Dispatcher.Outcome;
-import irisyard.Dispatcher.Report;
-import irisyard.Dispatcher.State;
-import irisyard.Dispatcher.Worker;
-import java.io.FileOutputStream;
-import java.io.FileDescriptor;
+import ferngrade.Choice;
+import ferngrade.Dispatcher;
+import ferngrade.Dispatcher.Job;
+import ferngrade.Dispatcher.News;
+import ferngrade.Dispatcher.Outcome;
+import ferngrade.Dispatcher.Report;
+import ferngrade.Dispatcher.State;
+import ferngrade.Dispatcher.Worker;
+import ferngrade.config.SettingsMapping;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -48,18 +47,9 @@
         }
     }
 
-    /** Runs the host on standard input and output; {@code wirehost} is the only mode. */
-    public static void main(String[] arguments) {
-        if (arguments.length != 1 || !"wirehost".equals(arguments[0])) {
-            System.err.println("usage: java -jar irisyard.jar wirehost");
-            System.exit(2);
-        }
-        try (OutputStream stdout = new FileOutputStream(FileDescriptor.out)) {
-            new WireHost(System.in, stdout).run();
-        } catch (WireException | IOException broken) {
-            System.err.println("irisyard: " + broken.getMessage());
-            System.exit(1);
-        }
+    /** Serves the wire on these streams until the input ends. */
+    public static void run(InputStream in, OutputStream out) throws IOException {
+        new WireHost(in, out).run();
     }
 
     void run() throws IOException {
@@ -138,11 +128,11 @@
 
     private void configure() {
         long seed = in.whole("Entropy");
-        WireSettings settings = new WireSettings();
-        for (String pair = in.text(); pair != null; pair = in.text()) {
-            settings.put(pair);
-        }
+        SettingsMapping settings = new SettingsMapping();
         try {
+            for (String pair = in.text(); pair != null; pair = in.text()) {
+                settings.put(pair);
+            }
             seat.module = new Choice(settings.build(), seed, now, seat.actions);
         } catch (IllegalArgumentException invalid) {
             throw in.wrong("Env", invalid.getMessage());
--- a/src/main/java/irisyard/wire/WireReader.java
+++ b/src/main/java/ferngrade/wire/WireReader.java
@@ -1,4 +1,4 @@
-package irisyard.wire;
+package ferngrade.wire;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/irisyard/wire/WireWriter.java
+++ b/src/main/java/ferngrade/wire/WireWriter.java
@@ -1,6 +1,6 @@
-package irisyard.wire;
+package ferngrade.wire;
 
-import irisyard.Dispatcher.Actions;
+import ferngrade.Dispatcher.Actions;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
--- a/src/test/java/irisyard/BudgetTest.java
+++ b/src/test/java/ferngrade/BudgetTest.java
@@ -1,15 +1,15 @@
-package irisyard;
+package ferngrade;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import irisyard.Dispatcher.Effect;
-import irisyard.Dispatcher.News;
-import irisyard.Dispatcher.Outcome;
-import irisyard.Dispatcher.Report;
-import irisyard.Dispatcher.Scope;
-import irisyard.Dispatcher.Tenant;
+import ferngrade.Dispatcher.Effect;
+import ferngrade.Dispatcher.News;
+import ferngrade.Dispatcher.Outcome;
+import ferngrade.Dispatcher.Report;
+import ferngrade.Dispatcher.Scope;
+import ferngrade.Dispatcher.Tenant;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/irisyard/Fixture.java
+++ b/src/test/java/ferngrade/Fixture.java
@@ -1,16 +1,16 @@
-package irisyard;
-
-import irisyard.Dispatcher.Actions;
-import irisyard.Dispatcher.ColdRule;
-import irisyard.Dispatcher.Effect;
-import irisyard.Dispatcher.Job;
-import irisyard.Dispatcher.JobClass;
-import irisyard.Dispatcher.Limits;
-import irisyard.Dispatcher.Scope;
-import irisyard.Dispatcher.Settings;
-import irisyard.Dispatcher.State;
-import irisyard.Dispatcher.Tenant;
-import irisyard.Dispatcher.Worker;
+package ferngrade;
+
+import ferngrade.Dispatcher.Actions;
+import ferngrade.Dispatcher.ColdRule;
+import ferngrade.Dispatcher.Effect;
+import ferngrade.Dispatcher.Job;
+import ferngrade.Dispatcher.JobClass;
+import ferngrade.Dispatcher.Limits;
+import ferngrade.Dispatcher.Scope;
+import ferngrade.Dispatcher.Settings;
+import ferngrade.Dispatcher.State;
+import ferngrade.Dispatcher.Tenant;
+import ferngrade.Dispatcher.Worker;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/irisyard/RandomStreamTest.java
+++ b/src/test/java/ferngrade/RandomStreamTest.java
@@ -1,20 +1,20 @@
-package irisyard;
+package ferngrade;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import irisyard.Dispatcher.Effect;
-import irisyard.Dispatcher.Job;
-import irisyard.Dispatcher.JobClass;
-import irisyard.Dispatcher.Limits;
-import irisyard.Dispatcher.News;
-import irisyard.Dispatcher.Outcome;
-import irisyard.Dispatcher.Report;
-import irisyard.Dispatcher.Scope;
-import irisyard.Dispatcher.Settings;
-import irisyard.Dispatcher.State;
-import irisyard.Dispatcher.Tenant;
-import irisyard.Dispatcher.Worker;
+import ferngrade.Dispatcher.Effect;
+import ferngrade.Dispatcher.Job;
+import ferngrade.Dispatcher.JobClass;
+import ferngrade.Dispatcher.Limits;
+import ferngrade.Dispatcher.News;
+import ferngrade.Dispatcher.Outcome;
+import ferngrade.Dispatcher.Report;
+import ferngrade.Dispatcher.Scope;
+import ferngrade.Dispatcher.Settings;
+import ferngrade.Dispatcher.State;
+import ferngrade.Dispatcher.Tenant;
+import ferngrade.Dispatcher.Worker;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/irisyard/RulesTest.java
+++ b/src/test/java/ferngrade/RulesTest.java
@@ -1,4 +1,4 @@
-package irisyard;
+package ferngrade;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,14 +6,14 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import irisyard.Dispatcher.Effect;
-import irisyard.Dispatcher.News;
-import irisyard.Dispatcher.Outcome;
-import irisyard.Dispatcher.Report;
-import irisyard.Dispatcher.Scope;
-import irisyard.Dispatcher.State;
-import irisyard.Dispatcher.Tenant;
-import irisyard.Dispatcher.Worker;
+import ferngrade.Dispatcher.Effect;
+import ferngrade.Dispatcher.News;
+import ferngrade.Dispatcher.Outcome;
+import ferngrade.Dispatcher.Report;
+import ferngrade.Dispatcher.Scope;
+import ferngrade.Dispatcher.State;
+import ferngrade.Dispatcher.Tenant;
+import ferngrade.Dispatcher.Worker;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
--- a/src/test/java/irisyard/wire/WireHostTest.java
+++ b/src/test/java/ferngrade/wire/WireHostTest.java
@@ -1,4 +1,4 @@
-package irisyard.wire;
+package ferngrade.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
