Keep a dispatcher's slice generous until its first cut

Checked: the refusals came from Choice.growOrTrim. A node waits for its clients after it is ready, so its first cycles see no demand and the slice stands at the floor of one slot a second; it then grows by a fifth a cycle, on a fleet that is idle. Ruled out: workers' answers (none full), connects (28 in all, none failed), the node's CPU (0.7 s in the worst second, median 0.9 ms to the first attempt).

The design says that a slice starts generous and grows while nothing is answered full. It now stays at the slack bound until the first cut; from then on it grows and is trimmed as before.

BudgetTest has the case; it failed before.

--- a/src/main/java/ferngrade/Choice.java
+++ b/src/main/java/ferngrade/Choice.java
@@ -181,12 +181,14 @@
     }
 
     private void growOrTrim(double seconds) {
-        if (Double.isNaN(slice)) {
-            slice = Math.max(FLOOR, SLACK * demand);
-        }
         double bad = sent == 0 ? 0 : (double) refused / sent;
         double most = SLACK * demand + FLOOR;
         double change = GROW - TRIM * bad;
+        // The start is generous until a first cut shows a limit. A dispatcher that waits for its clients
+        // sees no demand for some cycles; growing from the floor then refuses them on an idle fleet.
+        if (Double.isNaN(slice) || change >= 0 && lastCut == Double.NEGATIVE_INFINITY) {
+            slice = Double.isNaN(slice) ? most : Math.max(most, slice);
+        }
         // Only growth stops at the bound: cutting to it would destroy what peers pass through this slice.
         if (change < 0 || slice < most) {
             // What was accepted proves that the slots exist; cutting below it starves an idle fleet.
--- a/src/test/java/ferngrade/BudgetTest.java
+++ b/src/test/java/ferngrade/BudgetTest.java
@@ -48,6 +48,21 @@
         assertEquals(0, Choice.waterLevel(0, new double[] {1}, new double[] {1}), 1e-9);
     }
 
+    @Test
+    void aDispatcherThatWaitedForItsClientsRefusesNothingOnAnIdleFleet() {
+        Fixture.Recorder out = new Fixture.Recorder();
+        Choice choice = dispatcher(0, 1, out, List.of(new Tenant("a", 1, 10)));
+        double now = 0;
+        for (int cycle = 0; cycle < 40; cycle++) {
+            now += 500;
+            choice.timer(now, CYCLE);
+            if (cycle >= 8) {
+                arrive(choice, out, cycle, 0, now + 1, Outcome.OK);
+            }
+        }
+        assertEquals(List.of(), out.refused);
+    }
+
     @Test
     void peerStepMovesSlotsToTheAskingPeerAndKeepsTheSum() {
         List<Fixture.Recorder> out = List.of(new Fixture.Recorder(), new Fixture.Recorder());
