Listen for call-backs until every taken job is answered, and bar mistaken call-backs

Seen on reading the stop's order: after the grace the listener closed, but the answers of jobs in work depend on call-backs, which workers bring on new connections to that address. Every job still out at SIGTERM + 0.7 s would have been lost (Front.finish). The listener now stays until the last job has its answer; a job that comes after the grace is refused.

Also found: a worker that handed a job back could get it a second time by a desperate pick; a repeat of its first call-back would then end the new attempt, and a supply-order could run twice (Exchange.barred is the guard). One list entry that cannot be read no longer voids the whole list (MemberReader).

Not yet tested over sockets.

--- a/src/main/java/ferngrade/config/MemberReader.java
+++ b/src/main/java/ferngrade/config/MemberReader.java
@@ -14,8 +14,8 @@
     private final List<String> zones;
     private final List<String> kinds;
 
-    /** One version of the list, or of changes to it. */
-    public record MemberList(long revision, boolean complete, List<Member> members) { }
+    /** One version of the list, or of changes to it; {@code faults} tells of entries that were left out. */
+    public record MemberList(long revision, boolean complete, List<Member> members, List<String> faults) { }
 
     /** A reader that knows the settings' names of zones and kinds. */
     public MemberReader(List<String> zones, List<String> kinds) {
@@ -28,10 +28,16 @@
         try {
             JsonObject list = json.asObject();
             List<Member> members = new ArrayList<>();
+            List<String> faults = new ArrayList<>();
             for (JsonValue entry : list.get("members").asArray()) {
-                members.add(member(entry.asObject()));
+                try {
+                    members.add(member(entry.asObject()));
+                } catch (IllegalArgumentException | UnsupportedOperationException | NullPointerException bad) {
+                    // One entry that cannot be used says nothing of the others.
+                    faults.add(entry + ": " + bad.getMessage());
+                }
             }
-            return new MemberList(list.getLong("revision", 0), list.getBoolean("complete", true), members);
+            return new MemberList(list.getLong("revision", 0), list.getBoolean("complete", true), members, faults);
         } catch (UnsupportedOperationException | NullPointerException | NumberFormatException wrongType) {
             throw new IllegalArgumentException("not a worker list: " + wrongType.getMessage(), wrongType);
         }
--- a/src/main/java/ferngrade/net/DiscoveryWatch.java
+++ b/src/main/java/ferngrade/net/DiscoveryWatch.java
@@ -119,6 +119,7 @@
         }
         try {
             MemberList list = reader.read(Json.parse(line));
+            list.faults().forEach(fault -> log.line("discovery listed what cannot be used: " + fault));
             revision = list.revision();
             listed = true;
             retry = RETRY_FIRST;
--- a/src/main/java/ferngrade/net/Front.java
+++ b/src/main/java/ferngrade/net/Front.java
@@ -32,6 +32,7 @@
     private Channel listener;
     private boolean draining;
     private Runnable whenDone;
+    private int jobs;
 
     Front(int mostConnections) {
         this.mostConnections = mostConnections;
@@ -67,14 +68,32 @@
         draining = true;
     }
 
-    /** Accepts no more, ends what is idle, and calls {@code done} when the last connection has ended. */
+    /**
+     * Takes no more jobs, ends what is idle, and calls {@code done} when every job has its answer. Till then
+     * it listens: the workers' call-backs, which those answers wait for, come on connections of their own.
+     */
     void finish(Runnable done) {
         whenDone = done;
-        listener.close();
         new ArrayList<>(idle).forEach(FrontHandler::close);
         checkDone();
     }
 
+    /** True from {@link #finish} on: a job that comes now is refused. */
+    boolean finishing() {
+        return whenDone != null;
+    }
+
+    /** A job has been taken from a client. */
+    void took() {
+        jobs++;
+    }
+
+    /** A job's answer has been written, or its client has gone. */
+    void gave() {
+        jobs--;
+        checkDone();
+    }
+
     void opened(FrontHandler connection) {
         open.add(connection);
         idle.add(connection);
@@ -98,23 +117,19 @@
         open.remove(connection);
         idle.remove(connection);
         makeRoom();
-        checkDone();
     }
 
     private void makeRoom() {
         if (open.size() >= mostConnections && idle.size() > 1) {
             idle.iterator().next().close();
         }
-        if (whenDone == null) {
-            listener.config().setAutoRead(open.size() < mostConnections);
-        }
+        listener.config().setAutoRead(open.size() < mostConnections);
     }
 
     private void checkDone() {
-        if (whenDone != null && open.isEmpty()) {
-            Runnable done = whenDone;
-            whenDone = () -> { };
-            done.run();
+        if (whenDone != null && jobs == 0) {
+            listener.close();
+            whenDone.run();
         }
     }
 }
--- a/src/main/java/ferngrade/net/FrontHandler.java
+++ b/src/main/java/ferngrade/net/FrontHandler.java
@@ -98,11 +98,22 @@
             node.news(NewsReader.read(request.content().toString(StandardCharsets.UTF_8)));
             answer(HttpResponseStatus.NO_CONTENT, "");
         } else {
-            Job job = reader.job(request.headers(), clock.now());
-            if (!node.request(job, RequestReader.call(request, job.id()), new HttpReply())) {
-                throw new BadRequestException("Req-Id is in use");
-            }
-            taken = busy ? job.id() : null;
+            job(request);
+        }
+    }
+
+    private void job(FullHttpRequest request) throws BadRequestException {
+        Job job = reader.job(request.headers(), clock.now());
+        if (front.finishing()) {
+            new HttpReply().refused(0);
+            return;
+        }
+        front.took();
+        taken = job.id();
+        if (!node.request(job, RequestReader.call(request, job.id()), new HttpReply())) {
+            taken = null;
+            front.gave();
+            throw new BadRequestException("Req-Id is in use");
         }
     }
 
@@ -112,6 +123,7 @@
     }
 
     private void respond(FullHttpResponse response) {
+        boolean wasJob = taken != null;
         taken = null;
         boolean keep = keepAlive && !front.draining();
         if (!response.status().equals(HttpResponseStatus.NO_CONTENT)) {
@@ -120,7 +132,12 @@
         if (!keep) {
             response.headers().set(HttpHeaderNames.CONNECTION, "close");
         }
-        context.writeAndFlush(response).addListener(future -> finished(keep && future.isSuccess()));
+        context.writeAndFlush(response).addListener(future -> {
+            if (wasJob) {
+                front.gave();
+            }
+            finished(keep && future.isSuccess());
+        });
     }
 
     private void finished(boolean keep) {
@@ -146,6 +163,8 @@
         waiting.clear();
         if (taken != null) {
             node.clientGone(taken);
+            taken = null;
+            front.gave();
         }
     }
 
--- a/src/main/java/ferngrade/node/Attempt.java
+++ b/src/main/java/ferngrade/node/Attempt.java
@@ -12,6 +12,8 @@
     Timers.Timer timeout;
     boolean written;
     boolean ended;
+    /** The worker has told of it by a call-back. */
+    boolean calledBack;
 
     Attempt(Exchange exchange, long worker, Member member, double sentAt) {
         this.exchange = exchange;
--- a/src/main/java/ferngrade/node/Exchange.java
+++ b/src/main/java/ferngrade/node/Exchange.java
@@ -67,7 +67,11 @@
         return null;
     }
 
-    boolean outAt(long worker) {
-        return attempts.stream().anyMatch(each -> !each.ended && each.worker == worker);
+    /**
+     * True if the worker must not get the request (again): it has an attempt out, or has called back about
+     * an ended one. A repeat of that call-back could not be told from news of a new attempt, and would end it.
+     */
+    boolean barred(long worker) {
+        return attempts.stream().anyMatch(each -> each.worker == worker && (!each.ended || each.calledBack));
     }
 }
--- a/src/main/java/ferngrade/node/Node.java
+++ b/src/main/java/ferngrade/node/Node.java
@@ -110,6 +110,7 @@
         if (attempt == null) {
             return;
         }
+        attempt.calledBack = true;
         offer(() -> {
             switch (news.state()) {
                 case STARTED -> {
@@ -227,12 +228,12 @@
         }
         double now = clock.now();
         Member member = members.get(worker);
-        boolean twice = exchange.outAt(worker);
+        boolean barred = exchange.barred(worker);
         Attempt attempt = new Attempt(exchange, worker, member, now);
         exchange.attempts.add(attempt);
         exchange.out++;
         double left = exchange.job.due() - now;
-        if (exchange.over() || twice || left <= 0 || member == null || member.worker().state() != State.READY) {
+        if (exchange.over() || left <= 0 || barred || member == null || member.worker().state() != State.READY) {
             offer(() -> end(attempt, Outcome.NEVER_SENT, Report.NONE));
             return;
         }
