Tell the node's stories over loopback sockets against scripted workers and discovery

NodeStoriesTest plays a whole node: a job unchanged to the worker and its early call-back, a pooled connection that breaks under a written job (one attempt, 502), refused connects, declines, eleven bad requests beside a good one, discovery that talks nonsense and breaks, a stop whose last call-back comes after the grace. WorkerClientTest sets the clock: DELETE after the 202, a close before it, idle connections ended at half the limit, connects that hang, sends no longer wanted when their connection comes up, the bound on connections, foreign and long datagrams.

Checked: each story blocks on reads of its own sockets or polls for a state; none sleeps. NodeServer.stop is now idempotent and takes the grace, so that tests need not sit it out.

--- a/src/main/java/ferngrade/net/ConnectionPool.java
+++ b/src/main/java/ferngrade/net/ConnectionPool.java
@@ -49,6 +49,11 @@
         return null;
     }
 
+    /** The connections that stand idle. */
+    int idle() {
+        return idle.values().stream().mapToInt(Deque::size).sum();
+    }
+
     /** Books a place for a new connection; false if there is none. */
     boolean reserve() {
         if (open >= most && !dropOldest()) {
--- a/src/main/java/ferngrade/net/NodeServer.java
+++ b/src/main/java/ferngrade/net/NodeServer.java
@@ -95,10 +95,17 @@
      * everything that was taken. Returns when all is done.
      */
     public void stop() throws InterruptedException {
+        stop(GRACE);
+    }
+
+    void stop(double grace) throws InterruptedException {
+        if (loop.isShuttingDown()) {
+            return;
+        }
         loop.execute(() -> {
             log.line("stopping");
             front.drain();
-            timers.after(GRACE, () -> front.finish(finished::countDown));
+            timers.after(grace, () -> front.finish(finished::countDown));
         });
         finished.await();
         group.shutdownGracefully(0, 1000, TimeUnit.MILLISECONDS).await();
--- a/src/test/java/ferngrade/config/NodeConfigTest.java
+++ b/src/test/java/ferngrade/config/NodeConfigTest.java
@@ -7,6 +7,7 @@
 import com.eclipsesource.json.JsonObject;
 import ferngrade.Dispatcher.Effect;
 import ferngrade.Dispatcher.State;
+import java.util.List;
 import java.util.Map;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -41,6 +42,17 @@
         assertEquals(member.worker().startedAt(), 7.0);
     }
 
+    @Test
+    public void listEntriesThatCannotBeUsedAreLeftOutAndTold() {
+        MemberReader.MemberList list = new MemberReader(List.of("a"), List.of("fast")).read(Json.parse("""
+                {"revision":5,"members":[{"id":"s-1","host_port":7},
+                  {"id":"s-2","host_port":"127.0.0.1:81","locality":"mars","flavor":"fast","phase":"active"},
+                  {"id":"s-3","host_port":"127.0.0.1:82","locality":"a","flavor":"fast","phase":"active"}]}"""));
+        assertEquals(list.members().size(), 1);
+        assertEquals(list.members().get(0).name(), "s-3");
+        assertEquals(list.faults().size(), 2);
+    }
+
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
--- /dev/null
+++ b/src/test/java/ferngrade/net/NodeStoriesTest.java
@@ -0,0 +1,237 @@
+package ferngrade.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import com.eclipsesource.json.Json;
+import ferngrade.config.NodeConfig;
+import ferngrade.net.RawHttp.Message;
+import ferngrade.node.Clock;
+import ferngrade.node.Log;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Stories of a whole node on loopback sockets, against a worker and a discovery that the story speaks for. */
+@Test(timeOut = 30_000)
+public class NodeStoriesTest {
+    private ServerSocket worker;
+    private ServerSocket discovery;
+    private NodeServer node;
+
+    @BeforeMethod
+    public void listen() throws IOException {
+        worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void end() throws Exception {
+        worker.close();
+        discovery.close();
+        node.stop(0);
+    }
+
+    @Test
+    public void jobGoesThroughUnchangedAndItsResultComesBack() throws Exception {
+        start(list(1, "active"));
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api/x?y=%20z", "a", "order") + "\r\nIdempotency-Key: k1", "body"));
+            RawHttp worked = new RawHttp(worker.accept());
+            Message got = worked.read();
+            assertEquals(got.start(), "POST /api/x?y=%20z HTTP/1.1");
+            assertEquals(got.body(), "body");
+            assertEquals(got.headers().get("Req-Id"), "a");
+            assertEquals(got.headers().get("Idempotency-Key"), "k1");
+            assertTrue(got.headers().get("Req-Deadline").matches("[0-9]+m"));
+            assertEquals(callBack("a", "\"state\":\"done\",\"result\":\"soup\""), 204);
+            worked.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+            Message answer = client.read();
+            assertEquals(answer.status(), 200);
+            assertEquals(answer.body(), "soup");
+            assertEquals(callBack("a", "\"state\":\"done\",\"result\":\"again\""), 204);
+            assertEquals(callBack("nobody", "\"state\":\"lost\""), 204);
+        }
+    }
+
+    @Test
+    public void connectionThatBreaksUnderAWrittenJobIsNotAnsweredByAResend() throws Exception {
+        start(list(1, "active"));
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            RawHttp pooled = new RawHttp(worker.accept());
+            pooled.read();
+            pooled.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+            callBack("a", "\"state\":\"done\",\"result\":\"one\"");
+            assertEquals(client.read().status(), 200);
+            client.write(RawHttp.message(job("POST /api", "b", "order"), ""));
+            assertEquals(pooled.read().headers().get("Req-Id"), "b");
+            pooled.close();
+            assertEquals(client.read().status(), 502);
+        }
+    }
+
+    @Test
+    public void refusedConnectIsARefusalWithAdvice() throws Exception {
+        worker.close();
+        start(list(1, "active"));
+        try (RawHttp client = RawHttp.to(node.address())) {
+            Message answer = client.write(RawHttp.message(job("POST /api", "a", "order"), "")).read();
+            assertEquals(answer.status(), 503);
+            assertTrue(Double.parseDouble(answer.headers().get("Retry-After")) > 0);
+        }
+    }
+
+    @Test
+    public void declinedJobIsRefusedAndAFailedOneFails() throws Exception {
+        start(list(1, "active"));
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            RawHttp worked = new RawHttp(worker.accept());
+            for (int attempt = 0; attempt < 5; attempt++) {
+                worked.read();
+                worked.write("HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
+            }
+            assertEquals(client.read().status(), 503);
+            client.write(RawHttp.message(job("POST /api", "b", "order"), ""));
+            worked.read();
+            worked.write("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(client.read().status(), 502);
+        }
+    }
+
+    @DataProvider
+    public Object[][] badRequests() {
+        String good = job("POST /api", "a", "order");
+        return new Object[][] {
+            {"SOUP\r\n\r\n", 400},
+            {RawHttp.message("POST /api HTTP/1.1\r\nReq-Kind: order\r\nReq-Owner: t", ""), 400},
+            {RawHttp.message(good.replace("Req-Kind: order", "Req-Kind: soup"), ""), 400},
+            {RawHttp.message(good.replace("Req-Owner: t", "Req-Owner: nobody"), ""), 400},
+            {RawHttp.message(good.replace("9000m", "9000"), ""), 400},
+            {RawHttp.message(good.replace("9000m", "soonm"), ""), 400},
+            {RawHttp.message(good.replace("Req-Id: a", "Req-Id: a/../b"), ""), 400},
+            {good + "\r\nContent-Length: 70000\r\n\r\n", 413},
+            {"GET /api HTTP/1.1\r\n\r\n", 405},
+            {RawHttp.message("POST /_jobs/news HTTP/1.1", "{\"id\":7"), 400},
+            {RawHttp.message("POST /_jobs/news HTTP/1.1", "{\"id\":\"a\",\"from\":\"s-1\",\"state\":\"done\"}"), 400},
+        };
+    }
+
+    @Test(dataProvider = "badRequests")
+    public void badRequestGetsOnePlainAnswerAndHarmsNobodyElse(String request, int status) throws Exception {
+        start(list(1, "active"));
+        try (RawHttp client = RawHttp.to(node.address()); RawHttp bad = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api", "c", "order"), ""));
+            new RawHttp(worker.accept()).read();
+            assertEquals(bad.write(request).read().status(), status);
+            callBack("c", "\"state\":\"done\",\"result\":\"soup\"");
+            assertEquals(client.read().body(), "soup");
+        }
+    }
+
+    @Test
+    public void nodeIsReadyOnceAListIsKnownAndKeepsItWhenDiscoveryBreaks() throws Exception {
+        start(null);
+        try (RawHttp client = RawHttp.to(node.address())) {
+            assertEquals(client.write("GET /-/ready HTTP/1.1\r\n\r\n").read().status(), 503);
+            RawHttp watch = new RawHttp(discovery.accept());
+            assertEquals(watch.read().start(), "GET /api/targets?watch=1 HTTP/1.1");
+            watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            watch.write(chunk("{soup\n") + chunk("\n") + chunk("{\"members\":7}\n"));
+            String list = list(41, "active") + "\n";
+            watch.write(chunk(list.substring(0, 20)) + chunk(list.substring(20)));
+            int status = 503;
+            while (status != 200) {
+                status = client.write("GET /-/ready HTTP/1.1\r\n\r\n").read().status();
+            }
+            watch.close();
+            RawHttp again = new RawHttp(discovery.accept());
+            assertEquals(again.read().start(), "GET /api/targets?watch=1&from=41 HTTP/1.1");
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            assertNotNull(new RawHttp(worker.accept()).read());
+            again.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            again.write(chunk(list(42, "left").replace("true", "false") + "\n"));
+            while (status != 503) {
+                status = client.write("GET /-/ready HTTP/1.1\r\n\r\n").read().status();
+            }
+        }
+    }
+
+    @Test
+    public void stopFinishesWhatWasTakenThoughItsCallBackComesLate() throws Exception {
+        start(list(1, "active"));
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            new RawHttp(worker.accept()).read();
+            CompletableFuture<Void> stopped = CompletableFuture.runAsync(this::stop);
+            // Refused on sight means that the grace is over: nobody is sent the job, and nobody fails it.
+            Message late = null;
+            for (int i = 0; late == null || late.status() != 503 || late.headers().containsKey("Retry-After"); i++) {
+                try (RawHttp other = RawHttp.to(node.address())) {
+                    String gone = job("POST /api", "n" + i, "order").replace("9000m", "0m");
+                    late = other.write(RawHttp.message(gone, "")).read();
+                }
+            }
+            assertEquals(late.headers().get("Connection"), "close");
+            assertEquals(callBack("a", "\"state\":\"done\",\"result\":\"soup\""), 204);
+            Message answer = client.read();
+            assertEquals(answer.body(), "soup");
+            assertEquals(answer.headers().get("Connection"), "close");
+            assertNull(client.read());
+            stopped.get();
+        }
+    }
+
+    private void stop() {
+        try {
+            node.stop();
+        } catch (InterruptedException interrupted) {
+            throw new IllegalStateException(interrupted);
+        }
+    }
+
+    private void start(String known) throws Exception {
+        String config = "{'name':'n0','listen':'127.0.0.1:0','discovery':'127.0.0.1:" + discovery.getLocalPort()
+                + "','seed':'7','settings':{'Zones':['z'],'Kinds':['k'],'Tenants':[{'Name':'t','Share':1}],"
+                + "'Extra':{'TellsStart':true},'Ceilings':{'MostTries':5,'RetryAfter':true,'MaxRetryAfter':2000},"
+                + "'Classes':[{'Name':'order','Effect':'at_most_once','Deadline':9000.0}]}}";
+        var json = Json.parse(config.replace('\'', '"')).asObject();
+        if (known != null) {
+            json.set("known", Json.parse(known));
+        }
+        Clock clock = Clock.system();
+        node = NodeServer.start(NodeConfig.read(json), clock, new Log(clock, line -> { }));
+    }
+
+    private String list(int revision, String phase) {
+        return "{\"revision\":" + revision + ",\"complete\":true,\"members\":[{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:"
+                + worker.getLocalPort() + "\",\"locality\":\"z\",\"flavor\":\"k\",\"phase\":\"" + phase + "\"},"
+                + "{\"id\":\"s-2\",\"host_port\":7,\"phase\":\"active\"}]}";
+    }
+
+    private static String job(String target, String id, String kind) {
+        return target + " HTTP/1.1\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind
+                + "\r\nReq-Owner: t\r\nReq-Deadline: 9000m";
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private int callBack(String id, String rest) throws IOException {
+        InetSocketAddress address = node.address();
+        try (RawHttp caller = RawHttp.to(address)) {
+            String body = "{\"id\":\"" + id + "\",\"from\":\"s-1\"," + rest + "}";
+            return caller.write(RawHttp.message("POST /_jobs/news HTTP/1.1", body)).read().status();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ferngrade/net/WorkerClientTest.java
@@ -0,0 +1,193 @@
+package ferngrade.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+
+import ferngrade.Dispatcher.Outcome;
+import ferngrade.Dispatcher.Report;
+import ferngrade.net.RawHttp.Message;
+import ferngrade.node.Call;
+import ferngrade.node.Log;
+import ferngrade.node.Timers;
+import ferngrade.node.Workers;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Attempts on their way to a scripted worker, on a clock that the story sets; and datagrams between nodes. */
+@Test(timeOut = 30_000)
+public class WorkerClientTest {
+    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private volatile double now;
+    private volatile boolean wanted;
+    private ServerSocket worker;
+    private Timers timers;
+    private ConnectionPool pool;
+    private WorkerClient client;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        told.clear();
+        now = 0;
+        wanted = true;
+        worker = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        loop.submit(() -> {
+            timers = new Timers(() -> now, (millis, run) -> { });
+            pool = new ConnectionPool(() -> now, timers, 60_000, 2);
+            client = new WorkerClient(group, () -> now, timers, pool, 100);
+        }).get();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void end() throws IOException {
+        worker.close();
+    }
+
+    @Test
+    public void jobGivenUpAfterItWasTakenIsDeletedAndOneBeforeEndsItsConnection() throws Exception {
+        Workers.Sending taken = send("a");
+        RawHttp first = new RawHttp(worker.accept());
+        first.read();
+        first.write(TAKEN);
+        pooled();
+        loop.submit(taken::giveUp).get();
+        Message delete = first.read();
+        assertEquals(delete.start(), "DELETE /jobs/a HTTP/1.1");
+        first.write("HTTP/1.1 404 Unknown\r\nContent-Length: 0\r\n\r\n");
+        pooled();
+        Workers.Sending waiting = send("b");
+        assertEquals(first.read().headers().get("Req-Id"), "b");
+        loop.submit(waiting::giveUp).get();
+        assertNull(first.read());
+    }
+
+    @Test
+    public void idleConnectionIsEndedWellBeforeTheWorkersLimit() throws Exception {
+        send("a");
+        RawHttp first = new RawHttp(worker.accept());
+        first.read();
+        first.write(TAKEN);
+        pooled();
+        now = 30_000;
+        loop.submit(timers::run).get();
+        assertNull(first.read());
+    }
+
+    @Test
+    public void connectionThatEndsBeforeThe202IsAReset() throws Exception {
+        send("a");
+        RawHttp first = new RawHttp(worker.accept());
+        first.read();
+        first.close();
+        assertEquals(told.take(), "written");
+        assertEquals(told.take(), "RESET");
+    }
+
+    @Test
+    public void connectThatIsNotAnsweredRunsOutAndNothingWasWritten() throws Exception {
+        // A machine that has vanished: the queue of the listener is full, so that connects hang unanswered.
+        List<Socket> queue = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            queue.add(new Socket(worker.getInetAddress(), worker.getLocalPort()));
+        }
+        send("a");
+        assertEquals(told.take(), "CONNECT_FAILED");
+        for (Socket each : queue) {
+            each.close();
+        }
+    }
+
+    @Test
+    public void sendThatIsNoLongerWantedWritesNothingOnceItsConnectionIsUp() throws Exception {
+        wanted = false;
+        send("a");
+        RawHttp first = new RawHttp(worker.accept());
+        assertEquals(told.take(), "NEVER_SENT");
+        wanted = true;
+        pooled();
+        send("b");
+        assertEquals(first.read().headers().get("Req-Id"), "b");
+    }
+
+    @Test
+    public void connectionsBeyondTheBoundAreNotOpened() throws Exception {
+        send("a");
+        send("b");
+        send("c");
+        while (!told.take().equals("NEVER_SENT")) {
+            assertFalse(told.contains("RESET"));
+        }
+    }
+
+    @Test
+    public void datagramsOfStrangersAndLongOnesAreIgnored() throws Exception {
+        InetAddress here = InetAddress.getLoopbackAddress();
+        try (DatagramSocket peer = new DatagramSocket(0, here); DatagramSocket stranger = new DatagramSocket(0, here)) {
+            List<InetSocketAddress> peers = List.of((InetSocketAddress) peer.getLocalSocketAddress());
+            UdpPeers udp = new UdpPeers(peers, null, new Log(() -> now, line -> told.add("logged")));
+            InetSocketAddress own = (InetSocketAddress) udp.listen(group, new InetSocketAddress(here, 0),
+                    (from, body) -> told.add(from + ":" + body.length)).sync().channel().localAddress();
+            stranger.send(new DatagramPacket(new byte[7], 7, own));
+            assertEquals(told.take(), "logged");
+            peer.send(new DatagramPacket(new byte[300], 300, own));
+            assertEquals(told.take(), "logged");
+            peer.send(new DatagramPacket(new byte[7], 7, own));
+            assertEquals(told.take(), "0:7");
+            loop.submit(() -> udp.tell(0, new byte[9])).get();
+            DatagramPacket got = new DatagramPacket(new byte[300], 300);
+            peer.receive(got);
+            assertEquals(got.getLength(), 9);
+            loop.submit(() -> udp.tell(0, new byte[257])).get();
+            assertEquals(told.take(), "logged");
+        }
+    }
+
+    private Workers.Sending send(String id) throws Exception {
+        Call call = new Call(id, "POST", "/api", null, new byte[0]);
+        InetSocketAddress address = new InetSocketAddress(worker.getInetAddress(), worker.getLocalPort());
+        return loop.submit(() -> client.send(call, address, 1000, new Teller())).get();
+    }
+
+    /** Waits until the worker's last answer has been read and the connection stands idle. */
+    private void pooled() throws Exception {
+        while (loop.submit(pool::idle).get() == 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private final class Teller implements Workers.Listener {
+        @Override
+        public boolean mayStart() {
+            return wanted;
+        }
+
+        @Override
+        public void written() {
+            told.add("written");
+        }
+
+        @Override
+        public void ended(Outcome outcome, Report report) {
+            told.add(outcome.name());
+        }
+    }
+}
