Limit moves to a twentieth of the first sends, so that deep queues cannot jam

Checked: 'full' came 35 times in all, connects and resets none, so the attempts were neither retries nor repeats by the transport; they were second copies from Choice.move. A job that has not started after a fifth of its spare time is sent elsewhere, unless 5% of the answers are 'full'; these workers queue 9 to 17 jobs a core, so 'full' comes only when all is late. A cancel does not drop waiting work there, so each copy adds a whole job to the queues, which makes the next job wait, and move.

Moves are now earned by first sends, 0.05 each, three saved at most. RulesTest has a hundred jobs that do not start; without the budget in move() it fails. The rest of the ordinary path is as it was.

--- a/src/main/java/ferngrade/Choice.java
+++ b/src/main/java/ferngrade/Choice.java
@@ -56,6 +56,9 @@
     private static final double PATIENCE = 0.2;
     /** Share of 'full' among the sends above which no worker is thought idle and no job moved. */
     private static final double CROWDED = 0.05;
+    /** Moves earned by each first send, and the most that may be saved up. */
+    private static final double MOVE_SHARE = 0.05;
+    private static final double MOVES_SAVED = 3;
     /** Weight of the learned speed in a pick: a slow worker in time is as good as a fast one. */
     private static final double SPEED = 0.3;
     /** Weight of one wait in a worker's own mean, and the ms in which that mean fades into its group's. */
@@ -384,6 +387,9 @@
         node.held += request.job.slots();
         heldSlots += request.job.slots();
         sent++;
+        if (request.attempts.size() == 1) {
+            moves = Math.min(MOVES_SAVED, moves + MOVE_SHARE);
+        }
         countCold(node, request.job.slots(), now);
         Zone zone = zone(node.entry.zone());
         if (zone.unheard++ == 0) {
@@ -397,6 +403,7 @@
     // ---- Moves: a job that waits where others start at once ----
 
     private final Map<Long, Request> watched = new HashMap<>();
+    private double moves = MOVES_SAVED;
     private long nextToken = FIRST_JOB_TOKEN;
 
     /** The time a job can wait and still be in time, if this worker runs it. */
@@ -422,7 +429,8 @@
 
     /**
      * A job stuck in a queue is tried elsewhere too, the old place kept. Where queues are short that gains
-     * little and may run the job twice: no moves while workers answer 'full'.
+     * little and may run the job twice: no moves while workers answer 'full'. Deep queues jam long before
+     * that, and a cancelled place may run all the same: moves without a budget would then multiply the work.
      */
     private void move(Request request, double now) {
         int last = request.attempts.size() - 1;
@@ -433,7 +441,7 @@
         if (newest.outcome == null) {
             learnWait(newest.node, Math.max(now - newest.sentAt, expectedWait(newest.node, now)), now);
         }
-        boolean idle = crowding < CROWDED && maySend(request, now);
+        boolean idle = moves >= 1 && crowding < CROWDED && maySend(request, now);
         Node node = idle ? scan(request, binding(request), now, false) : null;
         if (node == null) {
             return;
@@ -441,6 +449,7 @@
         if (request.out > 1 && newest.outcome == null && settings.limits().cancel()) {
             actions.cancel(request.job.id(), last);
         }
+        moves--;
         send(request, node, now);
     }
 
--- a/src/test/java/ferngrade/RulesTest.java
+++ b/src/test/java/ferngrade/RulesTest.java
@@ -38,6 +38,23 @@
         return FLEET.stream().filter(worker -> worker.id() == id).findFirst().orElseThrow();
     }
 
+    @Test
+    void movesStayWithinTheirBudgetWhenEveryQueueIsDeep() {
+        Choice choice = choice(Effect.KEYED, Scope.ALL, true);
+        for (int i = 0; i < 100; i++) {
+            choice.arrived(10 + i, Fixture.job("r" + i, 0, 5_000));
+        }
+        assertEquals(100, out.sends.size());
+        // None has started when its patience runs out, nor when that of its second place does.
+        for (int i = 0; i < out.timers.size(); i++) {
+            if (out.timers.get(i)[1] >= 16) {
+                choice.timer(200, out.timers.get(i)[1]);
+            }
+        }
+        int moves = out.sends.size() - 100;
+        assertTrue(moves > 0 && moves <= 8, "moves of 100 jobs: " + moves);
+    }
+
     @Test
     void everyOutcomeOfEveryEffectAndScopeIsAnsweredAsTheClassAllows() {
         for (Effect effect : Effect.values()) {
