--- a/src/main/java/ferngrade/net/FrontHandler.java
+++ b/src/main/java/ferngrade/net/FrontHandler.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -88,7 +89,7 @@
         if (request.decoderResult().isFailure()) {
             throw new BadRequestException("not a request in HTTP");
         }
-        String path = request.uri().split("\\?", 2)[0];
+        String path = new QueryStringDecoder(request.uri()).rawPath();
         if (path.equals("/-/ready")) {
             boolean ready = node.ready() && !front.draining();
             answer(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
--- a/src/main/java/ferngrade/net/NodeServer.java
+++ b/src/main/java/ferngrade/net/NodeServer.java
@@ -52,6 +52,7 @@
             for (ChannelFuture bound : server.loop.submit(server::assemble).get()) {
                 bound.get();
             }
+            log.line("listening at " + server.address());
             return server;
         } catch (Exception failed) {
             server.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
--- a/src/main/java/ferngrade/net/RequestReader.java
+++ b/src/main/java/ferngrade/net/RequestReader.java
@@ -36,23 +36,25 @@
     }
 
     Job job(HttpHeaders headers, double now) throws BadRequestException {
-        String id = headers.get("Req-Id");
+        String id = headers.get(Headers.ID);
         if (id == null || id.isEmpty() || id.length() > LONGEST_ID || !id.matches("[A-Za-z0-9._:~-]+")) {
-            throw new BadRequestException("Req-Id is missing or not a plain word");
+            throw new BadRequestException(Headers.ID + " is missing or not a plain word");
         }
-        int jobClass = position(classes, headers, "Req-Kind");
-        int tenant = tenants.isEmpty() ? 0 : position(tenants, headers, "Req-Owner");
-        String wait = headers.get("Req-Deadline");
-        double deadline = wait == null ? settings.classes().get(jobClass).deadline() : deadline(wait);
-        String cost = headers.get("Req-Cost");
-        double work = cost == null ? 0 : amount("Req-Cost", cost) / 1000;
-        Map<String, Double> extras = extras(headers.get("Req-Extra"));
+        int jobClass = position(classes, headers, Headers.KIND);
+        int tenant = tenants.isEmpty() ? 0 : position(tenants, headers, Headers.OWNER);
+        String wait = headers.get(Headers.DEADLINE);
+        // No client waits longer than its class says; a wild figure must not hold a place in the table for days.
+        double longest = settings.classes().get(jobClass).deadline();
+        double deadline = wait == null ? longest : Math.min(longest, deadline(wait));
+        String cost = headers.get(Headers.COST);
+        double work = cost == null ? 0 : amount(Headers.COST, cost) / 1000;
+        Map<String, Double> extras = extras(headers.get(Headers.EXTRA));
         return new Job(id, jobClass, tenant, now + deadline, work, extras.getOrDefault("slots", 1.0),
                 extras.getOrDefault("memory", 0.0));
     }
 
     static Call call(FullHttpRequest request, String id) {
-        return new Call(id, request.method().name(), request.uri(), request.headers().get("Idempotency-Key"),
+        return new Call(id, request.method().name(), request.uri(), request.headers().get(Headers.REPEAT_KEY),
                 ByteBufUtil.getBytes(request.content()));
     }
 
@@ -68,11 +70,11 @@
     /** A time in ms from a number and its unit: {@code m} for milliseconds, {@code u} for microseconds. */
     private static double deadline(String text) throws BadRequestException {
         String number = text.isEmpty() ? "" : text.substring(0, text.length() - 1);
-        double amount = amount("Req-Deadline", number);
+        double amount = amount(Headers.DEADLINE, number);
         return switch (text.charAt(text.length() - 1)) {
             case 'm' -> amount;
             case 'u' -> amount / 1000;
-            default -> throw new BadRequestException("Req-Deadline has no unit m or u");
+            default -> throw new BadRequestException(Headers.DEADLINE + " has no unit m or u");
         };
     }
 
@@ -95,7 +97,7 @@
                 int equals = pair.indexOf('=');
                 String name = pair.substring(0, Math.max(0, equals)).strip();
                 if (name.equals("slots") || name.equals("memory")) {
-                    extras.put(name, amount("Req-Extra", pair.substring(equals + 1).strip()));
+                    extras.put(name, amount(Headers.EXTRA, pair.substring(equals + 1).strip()));
                 }
             }
         }
--- a/src/main/java/ferngrade/net/WorkerClient.java
+++ b/src/main/java/ferngrade/net/WorkerClient.java
@@ -142,11 +142,11 @@
             }
             FullHttpRequest request = WorkerClient.request(HttpMethod.valueOf(call.method()), call.target(),
                     worker, call.body());
-            request.headers().set("Req-Id", call.id());
-            request.headers().set("Req-Deadline", Math.max(1, Math.round(until - clock.now())) + "m");
+            request.headers().set(Headers.ID, call.id());
+            request.headers().set(Headers.DEADLINE, Math.max(1, Math.round(until - clock.now())) + "m");
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
             if (call.repeatKey() != null) {
-                request.headers().set("Idempotency-Key", call.repeatKey());
+                request.headers().set(Headers.REPEAT_KEY, call.repeatKey());
             }
             return request;
         }
@@ -165,11 +165,11 @@
         @Override
         void answered(FullHttpResponse response) {
             carrier = null;
-            Report report = LoadReport.parse(response.headers().get("Srv-Load"));
+            Report report = LoadReport.parse(response.headers().get(Headers.LOAD));
             int status = response.status().code();
             if (status == 202) {
                 taken = true;
-            } else if ((status == 503 || status == 504) && "1".equals(response.headers().get("Srv-Declined"))) {
+            } else if ((status == 503 || status == 504) && "1".equals(response.headers().get(Headers.DECLINED))) {
                 listener.ended(Outcome.FULL, report);
             } else {
                 listener.ended(Outcome.ERROR, report);
--- /dev/null
+++ b/src/test/java/ferngrade/net/RequestReaderTest.java
@@ -0,0 +1,33 @@
+package ferngrade.net;
+
+import static org.testng.Assert.assertEquals;
+
+import com.eclipsesource.json.Json;
+import ferngrade.Dispatcher.Job;
+import ferngrade.config.SettingsMapping;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What the headers of a job mean. */
+public class RequestReaderTest {
+    @DataProvider
+    public Object[][] deadlines() {
+        return new Object[][] {{"480m", 480.0}, {"480000u", 480.0}, {"0.5m", 0.5}, {null, 9000.0}, {"1e300m", 9000.0}};
+    }
+
+    @Test(dataProvider = "deadlines")
+    public void deadlineIsReadInItsUnitAndBoundedByTheClass(String text, double millis) throws BadRequestException {
+        SettingsMapping settings = new SettingsMapping();
+        settings.put(Json.parse("{\"Classes\":[{\"Name\":\"plan\"},{\"Name\":\"order\",\"Deadline\":9000}],"
+                + "\"Tenants\":[{\"Name\":\"s\"},{\"Name\":\"t\"}]}").asObject());
+        HttpHeaders headers = new DefaultHttpHeaders().set("req-id", "a").set("Req-Kind", "order")
+                .set("Req-Owner", "t").set("Req-Cost", "1500").set("Req-Extra", "slots=2,other=x,memory=0.5");
+        if (text != null) {
+            headers.set("Req-Deadline", text);
+        }
+        Job job = new RequestReader(settings.build()).job(headers, 100);
+        assertEquals(job, new Job("a", 1, 1, 100 + millis, 1.5, 2, 0.5));
+    }
+}
