Do not eject a worker that works when a job runs out of time in its queue

The time-outs were of jobs sent 10 to 20 s before, into the deep queues of the overload. Choice.learn took each as a failure of the worker, ejected it and counted it against the slice, though started and finished jobs of the same worker had been told in between.

A time-out now ejects only a worker that was silent since the send, and trims only if the job was sent after the last cut, as late starts already do. RulesTest has the case; it fails without the check of the silence.

--- a/src/main/java/ferngrade/Choice.java
+++ b/src/main/java/ferngrade/Choice.java
@@ -487,6 +487,7 @@
     private void signOfLife(Node node, double now) {
         Zone zone = zone(node.entry.zone());
         zone.lastHeard = now;
+        node.heardAt = now;
         zone.unheard = 0;
         zone.unreachable = 0;
     }
@@ -572,7 +573,18 @@
                 refused++;
                 full++;
             }
-            case ERROR, RESET, CONNECT_FAILED, TIMEOUT -> {
+            case TIMEOUT -> {
+                // In a deep queue a job runs out of time though its worker works. A job sent before the last
+                // cut waited for what was cut for; and only a worker that was silent all along has failed.
+                if (attempt.sentAt >= lastCut && node.ejectedUntil <= now) {
+                    refused++;
+                }
+                node.proven = true;
+                if (node.heardAt < attempt.sentAt) {
+                    eject(node, now);
+                }
+            }
+            case ERROR, RESET, CONNECT_FAILED -> {
                 if (outcome == Outcome.ERROR) {
                     signOfLife(node, now);
                 }
--- a/src/main/java/ferngrade/Notes.java
+++ b/src/main/java/ferngrade/Notes.java
@@ -26,6 +26,7 @@
         double hold;
         double ejectedUntil = Double.NEGATIVE_INFINITY;
         double ejection;
+        double heardAt = Double.NEGATIVE_INFINITY;
         long coldWindow = -1;
         double coldSent;
 
--- a/src/main/java/ferngrade/net/NodeServer.java
+++ b/src/main/java/ferngrade/net/NodeServer.java
@@ -70,7 +70,7 @@
 
     private List<ChannelFuture> assemble() {
         ConnectionPool pool = new ConnectionPool(clock, timers, config.connectionIdle(), workerConnections());
-        WorkerClient workers = new WorkerClient(group, clock, timers, pool, config.connectTimeout());
+        WorkerClient workers = new WorkerClient(group, clock, timers, pool, config.connectTimeout(), log);
         UdpPeers peers = new UdpPeers(config.peers(), config.peersAll(), log);
         Node node = new Node(new Node.Surroundings(clock, timers, loop, workers, peers, log), config.mostOpen(),
                 actions -> new Choice(config.settings(), config.seed(), clock.now(), actions));
--- a/src/main/java/ferngrade/net/WorkerClient.java
+++ b/src/main/java/ferngrade/net/WorkerClient.java
@@ -4,6 +4,7 @@
 import ferngrade.Dispatcher.Report;
 import ferngrade.node.Call;
 import ferngrade.node.Clock;
+import ferngrade.node.Log;
 import ferngrade.node.Timers;
 import ferngrade.node.Workers;
 import io.netty.bootstrap.Bootstrap;
@@ -36,12 +37,15 @@
     private final Clock clock;
     private final Timers timers;
     private final ConnectionPool pool;
+    private final Log log;
     private final Bootstrap bootstrap;
 
-    WorkerClient(EventLoopGroup group, Clock clock, Timers timers, ConnectionPool pool, double connectTimeout) {
+    WorkerClient(EventLoopGroup group, Clock clock, Timers timers, ConnectionPool pool, double connectTimeout,
+            Log log) {
         this.clock = clock;
         this.timers = timers;
         this.pool = pool;
+        this.log = log;
         this.bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectTimeout))
@@ -73,6 +77,7 @@
         if (idle != null) {
             idle.begin(transfer);
         } else if (!pool.reserve()) {
+            log.line("no connection left for " + worker);
             transfer.notConnected(Outcome.NEVER_SENT);
         } else {
             bootstrap.connect(worker).addListener((ChannelFuture connected) -> {
@@ -82,6 +87,7 @@
                     fresh.begin(transfer);
                 } else {
                     pool.unreserve();
+                    log.line("worker cannot be reached: " + connected.cause().getMessage());
                     transfer.notConnected(Outcome.CONNECT_FAILED);
                 }
             });
--- a/src/test/java/ferngrade/RulesTest.java
+++ b/src/test/java/ferngrade/RulesTest.java
@@ -55,6 +55,23 @@
         assertTrue(moves > 0 && moves <= 8, "moves of 100 jobs: " + moves);
     }
 
+    @Test
+    void workerThatWorksIsNotEjectedWhenAJobRunsOutOfTimeInItsQueue() {
+        Choice choice = choice(Effect.UNSAFE, Scope.ALL, false);
+        choice.members(5, News.WHOLE, FLEET.subList(0, 1));
+        choice.arrived(10, Fixture.job("waits", 0, 5_010));
+        choice.arrived(20, Fixture.job("runs", 0, 5_020));
+        choice.started(4_000, "runs", 0);
+        choice.members(5_000, News.WHOLE, FLEET.subList(0, 2));
+        choice.ended(5_010, "waits", 0, Outcome.TIMEOUT, 5_000, false, Report.NONE);
+        choice.ended(5_011, "runs", 0, Outcome.OK, 5_000, true, Report.NONE);
+        for (int i = 0; i < 20; i++) {
+            choice.arrived(5_020 + i, Fixture.job("next" + i, 0, 9_000));
+        }
+        long first = out.sends.stream().filter(send -> send.id().startsWith("next") && send.worker() == 1).count();
+        assertTrue(first > 0, "sends to the worker that works: " + first);
+    }
+
     @Test
     void everyOutcomeOfEveryEffectAndScopeIsAnsweredAsTheClassAllows() {
         for (Effect effect : Effect.values()) {
--- a/src/test/java/ferngrade/net/WorkerClientTest.java
+++ b/src/test/java/ferngrade/net/WorkerClientTest.java
@@ -7,6 +7,7 @@
 import ferngrade.Dispatcher.Report;
 import ferngrade.net.RawHttp.Message;
 import ferngrade.node.Call;
+import ferngrade.node.Log;
 import ferngrade.node.Timers;
 import ferngrade.node.Workers;
 import io.netty.channel.EventLoop;
@@ -51,7 +52,8 @@
         loop.submit(() -> {
             timers = new Timers(() -> now, (millis, run) -> { });
             pool = new ConnectionPool(() -> now, timers, 60_000, 2);
-            client = new WorkerClient(group, () -> now, timers, pool, 100);
+            client = new WorkerClient(group, () -> now, timers, pool, 100,
+                    new Log(() -> now, line -> { }));
         }).get();
     }
 
