Do not take an id again that has ended, nor blame workers for a request they cannot use

Checked: a trace of each job and of each answer of a worker that is no 202. Node.request knew open ids only, so the job went out; five workers in turn answered 400, each counted as ERROR, and Choice.learn ejected all five.

Node now remembers as many ended ids as its table may hold (RecentIds). A worker's 4xx is the outcome UNUSABLE: the request fails, nobody else is asked, nothing is learned of the worker. It is logged.

--- a/src/main/java/ferngrade/Choice.java
+++ b/src/main/java/ferngrade/Choice.java
@@ -746,6 +746,11 @@
             forget(request);
         } else if (outcome == Outcome.TIMEOUT && now >= request.job.due() - settings.roundMs()) {
             answer(request, 0);
+        } else if (request.out == 0 && outcome == Outcome.UNUSABLE) {
+            // Tried elsewhere, one bad request would bring as many workers under suspicion as it has tries.
+            request.over = true;
+            actions.fail(id);
+            forget(request);
         } else if (request.out == 0) {
             next(request, now);
         }
--- a/src/main/java/ferngrade/net/FrontHandler.java
+++ b/src/main/java/ferngrade/net/FrontHandler.java
@@ -114,7 +114,7 @@
         if (!node.request(job, RequestReader.call(request, job.id()), new HttpReply())) {
             taken = null;
             front.gave();
-            throw new BadRequestException("Req-Id is in use");
+            throw new BadRequestException("Req-Id has been used");
         }
     }
 
--- a/src/main/java/ferngrade/net/WorkerClient.java
+++ b/src/main/java/ferngrade/net/WorkerClient.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -178,7 +179,9 @@
             } else if ((status == 503 || status == 504) && "1".equals(response.headers().get(Headers.DECLINED))) {
                 listener.ended(Outcome.FULL, report);
             } else {
-                listener.ended(Outcome.ERROR, report);
+                log.line("worker " + worker + " answered " + status + " to job " + call.id());
+                boolean unusable = HttpStatusClass.valueOf(status) == HttpStatusClass.CLIENT_ERROR;
+                listener.ended(unusable ? Outcome.UNUSABLE : Outcome.ERROR, report);
             }
         }
 
--- a/src/main/java/ferngrade/node/Node.java
+++ b/src/main/java/ferngrade/node/Node.java
@@ -40,6 +40,7 @@
     private final Dispatcher module;
     private final Members members = new Members();
     private final Map<String, Exchange> exchanges = new HashMap<>();
+    private final RecentIds finished;
     private long bytes;
     private List<Runnable> ready = new ArrayList<>();
     private List<Runnable> asked = new ArrayList<>();
@@ -58,6 +59,7 @@
         this.peers = around.peers();
         this.log = around.log();
         this.mostOpen = mostOpen;
+        this.finished = new RecentIds(mostOpen);
         this.module = start.apply(new Requests());
         offer(() -> { });
     }
@@ -74,9 +76,9 @@
 
     // ---- What comes in ----
 
-    /** Takes a request; exactly one method of {@code reply} will be called. False: its id is in use. */
+    /** Takes a request; exactly one method of {@code reply} will be called. False: its id has been used. */
     public boolean request(Job job, Call call, Reply reply) {
-        if (exchanges.containsKey(job.id())) {
+        if (exchanges.containsKey(job.id()) || finished.contains(job.id())) {
             return false;
         }
         if (exchanges.size() >= mostOpen || bytes + call.body().length > MOST_BYTES) {
@@ -198,6 +200,7 @@
     private void release(Exchange exchange) {
         if (exchange.over() && exchange.out == 0 && exchanges.remove(exchange.job.id(), exchange)) {
             exchange.guard.cancel();
+            finished.add(exchange.job.id());
             bytes -= exchange.call.body().length;
         }
     }
--- a/src/test/java/ferngrade/node/NodeTest.java
+++ b/src/test/java/ferngrade/node/NodeTest.java
@@ -140,6 +140,19 @@
         assertEquals(node.open(), 0);
     }
 
+    @Test
+    public void idOfARequestThatEndedIsNotTakenAgainUntilOthersHavePushedItOut() {
+        for (String id : List.of("a", "b", "c")) {
+            request(id, 5000);
+            actions.refuse(id, 0);
+            turn();
+            assertFalse(node.request(job(id, 5000), call(id), new Answers()), id);
+        }
+        assertEquals(answers, List.of("refused 0.0", "refused 0.0", "refused 0.0"));
+        // The memory holds as many ids as the table, two here.
+        request("a", 5000);
+    }
+
     @Test
     public void requestThatTheModuleForgetsFailsAtItsEnd() {
         request("a", 1100);
