Bound and time out connections that owe a request, end them after an error, read jobs strictly

By reading: slots=1e300 in Req-Extra would outweigh every other job in the module's sums; 16 requests of 64 KB could wait on each connection, and one more ended it with the job in work; jobs could take all connections, so that no call-back could come in; MOST_BYTES and RESERVE were constants. Netty 4.2.18 itself refuses Content-Length beside Transfer-Encoding; the story now holds it to that.

Front keeps what owes something, a whole request or its end, in the order of age: 1.5 s each, and a quarter of its room in all; those that brought a job or a call-back are spared. FrontHandler ends each error with a close: its own direction first, then what comes is dropped, so that the error is not lost to a reset. Bounds and Node.Room follow from sockets and memory_mb. Timers are called off in log n.

--- a/src/main/java/ferngrade/config/NodeConfig.java
+++ b/src/main/java/ferngrade/config/NodeConfig.java
@@ -23,7 +23,7 @@
  * milliseconds.
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
+        int sockets, int memoryMb, InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
         MemberList known, Settings settings, MemberReader memberReader, double connectTimeout,
         double connectionIdle, int mostOpen) {
     /** Reads the file that {@code LB_CONFIG} names; the other {@code LB_*} variables take precedence. */
@@ -89,7 +89,7 @@
             }
         }
         return new NodeConfig(text(json, "name"), required(json, "listen"), required(json, "discovery"),
-                seed(json), sockets(json), optional(json, "peer_listen"), peers, optional(json, "peers_all"),
+                seed(json), limit(json, "sockets", 64, 1024), limit(json, "memory_mb", 16, 192), optional(json, "peer_listen"), peers, optional(json, "peers_all"),
                 known(json, reader), settings, reader, number(mapping, "Ceilings.ConnectTimeout", 1000),
                 number(mapping, "Ceilings.ConnIdle", 60000), (int) number(mapping, "Ceilings.OpenCap", 20000));
     }
@@ -140,16 +140,16 @@
         }
     }
 
-    private static int sockets(JsonObject json) throws ConfigException {
+    private static int limit(JsonObject json, String field, int least, int absent) throws ConfigException {
         JsonValue limits = json.get("limits");
-        JsonValue sockets = limits == null || !limits.isObject() ? null : limits.asObject().get("sockets");
-        if (sockets == null) {
-            return 1024;
+        JsonValue limit = limits == null || !limits.isObject() ? null : limits.asObject().get(field);
+        if (limit == null) {
+            return absent;
         }
-        if (!sockets.isNumber() || sockets.asDouble() < 64) {
-            throw new ConfigException("limits.sockets", "must be a number of 64 or more: " + sockets);
+        if (!limit.isNumber() || limit.asDouble() < least) {
+            throw new ConfigException("limits." + field, "must be a number of " + least + " or more: " + limit);
         }
-        return (int) sockets.asDouble();
+        return (int) limit.asDouble();
     }
 
     private static MemberList known(JsonObject json, MemberReader reader) throws ConfigException {
--- a/src/main/java/ferngrade/net/Front.java
+++ b/src/main/java/ferngrade/net/Front.java
@@ -3,6 +3,7 @@
 import ferngrade.node.Clock;
 import ferngrade.node.Log;
 import ferngrade.node.Node;
+import ferngrade.node.Timers;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -10,48 +11,62 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
- * The address where clients bring jobs and workers call back. It owns the count of connections: at the bound
- * the one idle for longest makes room, and where none is idle no more are accepted for the moment.
+ * The address where clients bring jobs and workers call back. It owns the count of connections and decides which
+ * must go. One that owes something, a whole request or its end, is given little time and little room, so that
+ * connections which never ask for anything push out nobody. One that has brought a job or a call-back may stand
+ * idle for as long as there is room: a client that finds it closed has lost its request.
  */
 final class Front {
     /** The largest body, in bytes. */
     static final int MOST_BODY = 64 << 10;
+    /** How long a connection may owe something, ms: with an answer on top it is over well within 3 s. */
+    private static final double PATIENCE = 1500;
+    private static final double SWEEP = 250;
     private static final int BACKLOG = 1024;
 
-    private final int mostConnections;
+    private final Bounds bounds;
+    private final Clock clock;
+    private final Timers timers;
     private final Set<FrontHandler> open = new LinkedHashSet<>();
     private final Set<FrontHandler> idle = new LinkedHashSet<>();
+    /** What owes something, and since when; the oldest comes first. */
+    private final Map<FrontHandler, Double> owing = new LinkedHashMap<>();
     private Channel listener;
     private boolean draining;
     private Runnable whenDone;
     private int jobs;
 
-    Front(int mostConnections) {
-        this.mostConnections = mostConnections;
+    Front(Bounds bounds, Clock clock, Timers timers) {
+        this.bounds = bounds;
+        this.clock = clock;
+        this.timers = timers;
     }
 
     /** Begins to listen. */
-    ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, Node node, RequestReader reader, Clock clock,
-            Log log) {
+    ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, Node node, RequestReader reader, Log log) {
         ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
-                                new FrontHandler(Front.this, node, reader, clock, log));
+                        FrontHandler handler = new FrontHandler(Front.this, node, reader, clock, log);
+                        channel.pipeline().addLast(handler.firstBytes(), new HttpServerCodec(),
+                                new BodyAggregator(MOST_BODY), handler);
                     }
                 }).bind(address);
         listener = bound.channel();
+        timers.after(SWEEP, this::sweep);
         return bound;
     }
 
@@ -83,6 +98,11 @@
         return whenDone != null;
     }
 
+    /** True if so many jobs are in work that the connections left are for call-backs. */
+    boolean crowded() {
+        return jobs >= bounds.jobs();
+    }
+
     /** A job has been taken from a client. */
     void took() {
         jobs++;
@@ -96,34 +116,81 @@
 
     void opened(FrontHandler connection) {
         open.add(connection);
-        idle.add(connection);
+        owes(connection);
         makeRoom();
     }
 
+    /** From now on the connection owes something; one that owed before starts anew. */
+    void owes(FrontHandler connection) {
+        idle.remove(connection);
+        owing.remove(connection);
+        if (!open.contains(connection)) {
+            return;
+        }
+        owing.put(connection, clock.now());
+        if (owing.size() > bounds.owing()) {
+            // Those that have proved themselves are spared: a flood of strangers must not cost them anything.
+            owing.keySet().stream().filter(each -> !each.proven()).findFirst().ifPresent(this::end);
+        }
+    }
+
+    /** The connection's first bytes of a request have come. */
+    void receives(FrontHandler connection) {
+        if (!owing.containsKey(connection)) {
+            owes(connection);
+        }
+    }
+
+    /** A whole request has come. */
     void busy(FrontHandler connection) {
         idle.remove(connection);
-        makeRoom();
+        owing.remove(connection);
     }
 
     void idle(FrontHandler connection) {
         if (whenDone != null) {
             connection.close();
-        } else if (open.contains(connection)) {
+        } else if (connection.proven()) {
             idle.add(connection);
+        } else {
+            owes(connection);
         }
     }
 
     void closed(FrontHandler connection) {
         open.remove(connection);
         idle.remove(connection);
+        owing.remove(connection);
         makeRoom();
     }
 
     private void makeRoom() {
-        if (open.size() >= mostConnections && idle.size() > 1) {
-            idle.iterator().next().close();
+        if (open.size() >= bounds.front()) {
+            Set<FrontHandler> first = owing.isEmpty() ? idle : owing.keySet();
+            if (!first.isEmpty()) {
+                end(first.iterator().next());
+            }
+        }
+        listener.config().setAutoRead(open.size() < bounds.front());
+    }
+
+    private void end(FrontHandler connection) {
+        idle.remove(connection);
+        owing.remove(connection);
+        connection.close();
+    }
+
+    private void sweep() {
+        double limit = clock.now() - PATIENCE;
+        List<FrontHandler> late = new ArrayList<>();
+        for (Map.Entry<FrontHandler, Double> each : owing.entrySet()) {
+            if (each.getValue() > limit) {
+                break;
+            }
+            late.add(each.getKey());
         }
-        listener.config().setAutoRead(open.size() < mostConnections);
+        late.forEach(FrontHandler::late);
+        timers.after(SWEEP, this::sweep);
     }
 
     private void checkDone() {
--- a/src/main/java/ferngrade/net/FrontHandler.java
+++ b/src/main/java/ferngrade/net/FrontHandler.java
@@ -7,9 +7,10 @@
 import ferngrade.node.Reply;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -25,9 +26,12 @@
 import java.util.Deque;
 import java.util.Locale;
 
-/** One connection to the front: a client's, or a worker's with call-backs. One request at a time. */
+/**
+ * One connection to the front: a client's, or a worker's with call-backs. One request at a time. An error ends
+ * the connection: whoever sent what cannot be used would else send it again at once, for as long as it likes.
+ */
 final class FrontHandler extends ChannelInboundHandlerAdapter {
-    /** Requests that may wait on a connection behind the one in work; more end the connection. */
+    /** Requests that may wait behind the one in work; the connection ends after them if more have come. */
     private static final int MOST_WAITING = 16;
 
     private final Front front;
@@ -38,7 +42,11 @@
     private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private boolean busy;
-    private boolean keepAlive;
+    private boolean keepAlive = true;
+    private boolean overrun;
+    private boolean received;
+    private boolean ending;
+    private boolean proven;
     private String taken;
 
     FrontHandler(Front front, Node node, RequestReader reader, Clock clock, Log log) {
@@ -49,6 +57,25 @@
         this.log = log;
     }
 
+    /** Stands before the codec: the time for a request counts from its first byte. */
+    ChannelInboundHandler firstBytes() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                if (!busy && !ending) {
+                    received = true;
+                    front.receives(FrontHandler.this);
+                }
+                ctx.fireChannelRead(bytes);
+            }
+        };
+    }
+
+    /** True once a job or a call-back that belongs to one has come: this is no stranger. */
+    boolean proven() {
+        return proven;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
@@ -57,35 +84,51 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (!(message instanceof FullHttpRequest request)) {
+        if (ending || !ctx.channel().isActive() || !(message instanceof FullHttpRequest request)) {
             ReferenceCountUtil.release(message);
-            return;
-        }
-        if (!busy) {
+        } else if (!busy) {
             begin(request);
-        } else if (waiting.size() < MOST_WAITING) {
-            waiting.add(request);
         } else {
-            request.release();
-            ctx.close();
+            // Nothing more is read until its turn comes, so that what waits is bounded by one read.
+            ctx.channel().config().setAutoRead(false);
+            if (waiting.size() < MOST_WAITING) {
+                waiting.add(request);
+            } else {
+                overrun = true;
+                request.release();
+            }
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event != BodyAggregator.TOO_LARGE || ending) {
+            ctx.fireUserEventTriggered(event);
+        } else if (busy) {
+            overrun = true;
+        } else {
+            busy = true;
+            front.busy(this);
+            error(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "a body holds at most " + Front.MOST_BODY + " bytes");
         }
     }
 
     private void begin(FullHttpRequest request) {
         busy = true;
+        received = false;
         front.busy(this);
         try {
             handle(request);
         } catch (BadRequestException bad) {
             log.line("bad request from " + context.channel().remoteAddress() + ": " + bad.getMessage());
-            answer(HttpResponseStatus.BAD_REQUEST, bad.getMessage());
+            error(HttpResponseStatus.BAD_REQUEST, bad.getMessage());
         } finally {
             request.release();
         }
     }
 
     private void handle(FullHttpRequest request) throws BadRequestException {
-        keepAlive = HttpUtil.isKeepAlive(request) && !request.decoderResult().isFailure();
+        keepAlive = HttpUtil.isKeepAlive(request);
         if (request.decoderResult().isFailure()) {
             throw new BadRequestException("not a request in HTTP");
         }
@@ -94,9 +137,9 @@
             boolean ready = node.ready() && !front.draining();
             answer(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
         } else if (!request.method().equals(HttpMethod.POST)) {
-            answer(HttpResponseStatus.METHOD_NOT_ALLOWED, "jobs come by POST");
+            error(HttpResponseStatus.METHOD_NOT_ALLOWED, "jobs come by POST");
         } else if (path.equals("/_jobs/news")) {
-            node.news(NewsReader.read(request.content().toString(StandardCharsets.UTF_8)));
+            proven |= node.news(NewsReader.read(request.content().toString(StandardCharsets.UTF_8)));
             answer(HttpResponseStatus.NO_CONTENT, "");
         } else {
             job(request);
@@ -104,11 +147,15 @@
     }
 
     private void job(FullHttpRequest request) throws BadRequestException {
-        Job job = reader.job(request.headers(), clock.now());
+        Job job = reader.job(request, clock.now());
         if (front.finishing()) {
             new HttpReply().refused(0);
             return;
         }
+        if (front.crowded()) {
+            node.refuseForRoom(new HttpReply());
+            return;
+        }
         front.took();
         taken = job.id();
         if (!node.request(job, RequestReader.call(request, job.id()), new HttpReply())) {
@@ -116,6 +163,12 @@
             front.gave();
             throw new BadRequestException("Req-Id has been used");
         }
+        proven = true;
+    }
+
+    private void error(HttpResponseStatus status, String body) {
+        keepAlive = false;
+        answer(status, body);
     }
 
     private void answer(HttpResponseStatus status, String body) {
@@ -126,7 +179,7 @@
     private void respond(FullHttpResponse response) {
         boolean wasJob = taken != null;
         taken = null;
-        boolean keep = keepAlive && !front.draining();
+        boolean keep = keepAlive && !front.draining() && !(overrun && waiting.isEmpty());
         if (!response.status().equals(HttpResponseStatus.NO_CONTENT)) {
             HttpUtil.setContentLength(response, response.content().readableBytes());
         }
@@ -137,21 +190,51 @@
             if (wasJob) {
                 front.gave();
             }
-            finished(keep && future.isSuccess());
+            if (!future.isSuccess()) {
+                context.close();
+            } else if (keep) {
+                next();
+            } else {
+                end();
+            }
         });
     }
 
-    private void finished(boolean keep) {
+    private void next() {
         busy = false;
-        if (!keep) {
-            context.close();
-        } else if (waiting.isEmpty()) {
+        if (waiting.isEmpty()) {
             front.idle(this);
+            context.channel().config().setAutoRead(true);
         } else {
             begin(waiting.poll());
         }
     }
 
+    /**
+     * Ends the connection behind its last answer. Closed with bytes unread it would be reset, and the answer be
+     * lost on its way to a client that still sends: so its own direction ends first, and what still comes is
+     * dropped until the client ends the other one, or the front's patience does.
+     */
+    private void end() {
+        ending = true;
+        busy = false;
+        drop();
+        front.owes(this);
+        ((DuplexChannel) context.channel()).shutdownOutput();
+        context.channel().config().setAutoRead(true);
+    }
+
+    /** What the connection owes has not come in time. */
+    void late() {
+        if (ending || !received) {
+            context.close();
+        } else {
+            busy = true;
+            front.busy(this);
+            error(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come whole");
+        }
+    }
+
     /** Ends a connection that has nothing in work. */
     void close() {
         context.close();
@@ -160,8 +243,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         front.closed(this);
-        waiting.forEach(ReferenceCountUtil::release);
-        waiting.clear();
+        drop();
         if (taken != null) {
             node.clientGone(taken);
             taken = null;
@@ -169,6 +251,11 @@
         }
     }
 
+    private void drop() {
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         ctx.close();
--- a/src/main/java/ferngrade/net/NodeServer.java
+++ b/src/main/java/ferngrade/net/NodeServer.java
@@ -22,10 +22,10 @@
 public final class NodeServer {
     /** How long new connections are accepted after the word to stop, ms. */
     private static final double GRACE = 700;
-    /** Descriptors left to the runtime, the listeners, discovery and the peers. */
-    private static final int RESERVE = 48;
-    /** Share of the other descriptors that workers' connections may take. */
-    private static final double WORKERS_SHARE = 0.3;
+    /** What a client is told to wait that finds no room, ms. */
+    private static final double FULL_RETRY = 1000;
+    /** Requests held for each MB of the limit: with their attempts and timers some KB each, a sixteenth of it. */
+    private static final int REQUESTS_A_MB = 16;
 
     private final NodeConfig config;
     private final Clock clock;
@@ -33,6 +33,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Timers timers;
+    private final Bounds bounds;
     private final Front front;
     private Discovery discovery;
     private final CountDownLatch finished = new CountDownLatch(1);
@@ -43,7 +44,8 @@
         this.log = log;
         this.timers = new Timers(clock, (millis, run) ->
                 loop.schedule(run, (long) Math.ceil(millis * 1000), TimeUnit.MICROSECONDS));
-        this.front = new Front(connections() - workerConnections());
+        this.bounds = Bounds.within(config.sockets(), config.memoryMb());
+        this.front = new Front(bounds, clock, timers);
     }
 
     /** Starts a node, which listens when this returns; an address in use ends in an exception. */
@@ -61,19 +63,17 @@
         }
     }
 
-    private int connections() {
-        return config.sockets() - RESERVE;
-    }
-
-    private int workerConnections() {
-        return (int) (WORKERS_SHARE * connections());
+    private Node.Room room() {
+        long bytes = ((long) config.memoryMb() << 20) / 16;
+        return new Node.Room(Math.min(config.mostOpen(), REQUESTS_A_MB * config.memoryMb()), bytes,
+                Math.min(FULL_RETRY, config.settings().limits().retryAfterMax()));
     }
 
     private List<ChannelFuture> assemble() {
-        ConnectionPool pool = new ConnectionPool(clock, timers, config.connectionIdle(), workerConnections());
+        ConnectionPool pool = new ConnectionPool(clock, timers, config.connectionIdle(), bounds.workers());
         WorkerClient workers = new WorkerClient(group, clock, timers, pool, config.connectTimeout(), log);
         UdpPeers peers = new UdpPeers(config.peers(), config.peersAll(), log);
-        Node node = new Node(new Node.Surroundings(clock, timers, loop, workers, peers, log), config.mostOpen(),
+        Node node = new Node(new Node.Surroundings(clock, timers, loop, workers, peers, log), room(),
                 actions -> new Choice(config.settings(), config.seed(), clock.now(), actions));
         if (config.known() != null) {
             node.members(News.STORED, config.known().members());
@@ -82,7 +82,7 @@
         if (config.peerListen() != null) {
             bound.add(peers.listen(group, config.peerListen(), node::heard));
         }
-        bound.add(front.listen(group, config.listen(), node, new RequestReader(config.settings()), clock, log));
+        bound.add(front.listen(group, config.listen(), node, new RequestReader(config.settings()), log));
         discovery = new Discovery((address, whenListed) ->
                 new DiscoveryWatch(group, address, config.memberReader(), node, timers, log, whenListed));
         discovery.watch(config.discovery());
--- a/src/main/java/ferngrade/net/RequestReader.java
+++ b/src/main/java/ferngrade/net/RequestReader.java
@@ -1,5 +1,6 @@
 package ferngrade.net;
 
+import ferngrade.Dispatcher.Effect;
 import ferngrade.Dispatcher.Job;
 import ferngrade.Dispatcher.JobClass;
 import ferngrade.Dispatcher.Settings;
@@ -8,14 +9,24 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 
-/** Reads clients' requests: the headers that say what a job is. */
+/** Reads clients' requests: whether one is a job that a worker can use, and what job it is. */
 final class RequestReader {
     /** Longest id that is taken; it also stands in the path of a DELETE. */
     private static final int LONGEST_ID = 128;
+    private static final Pattern PLAIN_ID = Pattern.compile("[A-Za-z0-9._:~-]+");
+    /** What can be passed on unchanged: a path or a key with other characters would reach the worker altered. */
+    private static final Pattern PATH = Pattern.compile("/[!-~]*");
+    private static final Pattern KEY = Pattern.compile("[!-~]{1,256}");
+    /** A figure as the protocol writes it; the runtime's parser would take names, hexadecimals and suffixes too. */
+    private static final Pattern FIGURE = Pattern.compile("[0-9]{1,18}(\\.[0-9]{1,18})?");
+    /** The most slots a job may ask for: a wild figure would outweigh all other jobs in the module's sums. */
+    private static final double MOST_SLOTS = 1024;
 
     private final Settings settings;
     private final Map<String, Integer> classes;
@@ -35,20 +46,30 @@
         return positions;
     }
 
-    Job job(HttpHeaders headers, double now) throws BadRequestException {
-        String id = headers.get(Headers.ID);
-        if (id == null || id.isEmpty() || id.length() > LONGEST_ID || !id.matches("[A-Za-z0-9._:~-]+")) {
+    Job job(HttpRequest request, double now) throws BadRequestException {
+        HttpHeaders headers = request.headers();
+        if (!PATH.matcher(request.uri()).matches()) {
+            throw new BadRequestException("the path is not plain");
+        }
+        String id = one(headers, Headers.ID);
+        if (id == null || id.length() > LONGEST_ID || !PLAIN_ID.matcher(id).matches()) {
             throw new BadRequestException(Headers.ID + " is missing or not a plain word");
         }
         int jobClass = position(classes, headers, Headers.KIND);
+        String key = one(headers, Headers.REPEAT_KEY);
+        boolean keyed = settings.classes().get(jobClass).effect() == Effect.KEYED;
+        // Without a key workers could not drop a repeat, and the module relies on that they do.
+        if (key == null ? keyed : !KEY.matcher(key).matches()) {
+            throw new BadRequestException(Headers.REPEAT_KEY + " is missing or not plain");
+        }
         int tenant = tenants.isEmpty() ? 0 : position(tenants, headers, Headers.OWNER);
-        String wait = headers.get(Headers.DEADLINE);
+        String wait = one(headers, Headers.DEADLINE);
         // No client waits longer than its class says; a wild figure must not hold a place in the table for days.
         double longest = settings.classes().get(jobClass).deadline();
         double deadline = wait == null ? longest : Math.min(longest, deadline(wait));
-        String cost = headers.get(Headers.COST);
-        double work = cost == null ? 0 : amount(Headers.COST, cost) / 1000;
-        Map<String, Double> extras = extras(headers.get(Headers.EXTRA));
+        String cost = one(headers, Headers.COST);
+        double work = cost == null ? 0 : Math.min(longest, amount(Headers.COST, cost) / 1000);
+        Map<String, Double> extras = extras(one(headers, Headers.EXTRA));
         return new Job(id, jobClass, tenant, now + deadline, work, extras.getOrDefault("slots", 1.0),
                 extras.getOrDefault("memory", 0.0));
     }
@@ -58,9 +79,18 @@
                 ByteBufUtil.getBytes(request.content()));
     }
 
+    /** The header's value, null if it is absent; of two nobody can say which one a worker would go by. */
+    private static String one(HttpHeaders headers, String header) throws BadRequestException {
+        List<String> values = headers.getAll(header);
+        if (values.size() > 1) {
+            throw new BadRequestException(header + " comes more than once");
+        }
+        return values.isEmpty() ? null : values.get(0);
+    }
+
     private static int position(Map<String, Integer> names, HttpHeaders headers, String header)
             throws BadRequestException {
-        Integer position = names.get(String.valueOf(headers.get(header)));
+        Integer position = names.get(String.valueOf(one(headers, header)));
         if (position == null) {
             throw new BadRequestException(header + " is missing or unknown");
         }
@@ -79,15 +109,10 @@
     }
 
     private static double amount(String header, String text) throws BadRequestException {
-        try {
-            double value = Double.parseDouble(text);
-            if (value >= 0 && value < Double.POSITIVE_INFINITY) {
-                return value;
-            }
-        } catch (NumberFormatException notANumber) {
-            throw new BadRequestException(header + " is not a number");
+        if (!FIGURE.matcher(text).matches()) {
+            throw new BadRequestException(header + " is not a number of 0 or more");
         }
-        throw new BadRequestException(header + " is out of range");
+        return Double.parseDouble(text);
     }
 
     private static Map<String, Double> extras(String text) throws BadRequestException {
@@ -97,7 +122,11 @@
                 int equals = pair.indexOf('=');
                 String name = pair.substring(0, Math.max(0, equals)).strip();
                 if (name.equals("slots") || name.equals("memory")) {
-                    extras.put(name, amount(Headers.EXTRA, pair.substring(equals + 1).strip()));
+                    double amount = amount(Headers.EXTRA, pair.substring(equals + 1).strip());
+                    if (amount > MOST_SLOTS) {
+                        throw new BadRequestException(Headers.EXTRA + " asks for too much");
+                    }
+                    extras.put(name, amount);
                 }
             }
         }
--- a/src/main/java/ferngrade/node/Node.java
+++ b/src/main/java/ferngrade/node/Node.java
@@ -23,10 +23,6 @@
  * <p>All methods belong to one thread, the one on which {@code loop} runs its tasks.
  */
 public final class Node {
-    /** Bytes of bodies held at a time; beyond that requests are refused, so that memory stays bounded. */
-    private static final long MOST_BYTES = 16 << 20;
-    /** What a client is told to wait that met a full table, ms. */
-    private static final double FULL_RETRY = 1000;
     /** The node's own answer where the module owes one, ms after the request's end. */
     private static final double GUARD = 10;
 
@@ -36,7 +32,7 @@
     private final Workers workers;
     private final Peers peers;
     private final Log log;
-    private final int mostOpen;
+    private final Room room;
     private final Dispatcher module;
     private final Members members = new Members();
     private final Map<String, Exchange> exchanges = new HashMap<>();
@@ -50,16 +46,22 @@
     public record Surroundings(Clock clock, Timers timers, Executor loop, Workers workers, Peers peers,
             Log log) { }
 
-    /** A node around the module that {@code start} makes; it holds {@code mostOpen} requests at most. */
-    public Node(Surroundings around, int mostOpen, Function<Actions, Dispatcher> start) {
+    /**
+     * What the node may hold at a time, so that its memory stays bounded: requests, and bytes of their bodies.
+     * Beyond that requests are refused with {@code retryAfter} ms, 0 for no advice.
+     */
+    public record Room(int requests, long bytes, double retryAfter) { }
+
+    /** A node around the module that {@code start} makes, within this room. */
+    public Node(Surroundings around, Room room, Function<Actions, Dispatcher> start) {
         this.clock = around.clock();
         this.timers = around.timers();
         this.loop = around.loop();
         this.workers = around.workers();
         this.peers = around.peers();
         this.log = around.log();
-        this.mostOpen = mostOpen;
-        this.finished = new RecentIds(mostOpen);
+        this.room = room;
+        this.finished = new RecentIds(room.requests());
         this.module = start.apply(new Requests());
         offer(() -> { });
     }
@@ -81,8 +83,8 @@
         if (exchanges.containsKey(job.id()) || finished.contains(job.id())) {
             return false;
         }
-        if (exchanges.size() >= mostOpen || bytes + call.body().length > MOST_BYTES) {
-            reply.refused(FULL_RETRY);
+        if (exchanges.size() >= room.requests() || bytes + call.body().length > room.bytes()) {
+            refuseForRoom(reply);
             return true;
         }
         Exchange exchange = new Exchange(job, call, reply);
@@ -93,6 +95,11 @@
         return true;
     }
 
+    /** Refuses a request that the module is not to see, because there is no room for it. */
+    public void refuseForRoom(Reply reply) {
+        reply.refused(room.retryAfter());
+    }
+
     /** The client of this request has gone. */
     public void clientGone(String id) {
         Exchange exchange = exchanges.get(id);
@@ -105,12 +112,12 @@
         }
     }
 
-    /** A worker's word on a job; one that fits no attempt that is out is old or unknown, and ignored. */
-    public void news(News news) {
+    /** A worker's word on a job; false: it fits no attempt that is out, is old or unknown, and ignored. */
+    public boolean news(News news) {
         Exchange exchange = exchanges.get(news.id());
         Attempt attempt = exchange == null ? null : exchange.writtenTo(news.from());
         if (attempt == null) {
-            return;
+            return false;
         }
         attempt.calledBack = true;
         offer(() -> {
@@ -137,6 +144,7 @@
                 default -> throw new IllegalStateException("no such state: " + news.state());
             }
         });
+        return true;
     }
 
     /** News of the worker list. */
--- a/src/main/java/ferngrade/node/Timers.java
+++ b/src/main/java/ferngrade/node/Timers.java
@@ -1,12 +1,13 @@
 package ferngrade.node;
 
-import java.util.PriorityQueue;
+import java.util.NavigableSet;
+import java.util.TreeSet;
 
 /** All timers of a node, on its {@link Clock}. Something outside calls {@link #run} when the next is due. */
 public final class Timers {
     private final Clock clock;
     private final Waker waker;
-    private final PriorityQueue<Timer> queue = new PriorityQueue<>();
+    private final NavigableSet<Timer> queue = new TreeSet<>();
     private long sequence;
     private double wakeAt = Double.POSITIVE_INFINITY;
 
@@ -59,15 +60,15 @@
         wakeAt = Double.POSITIVE_INFINITY;
         double now = clock.now();
         long set = sequence;
-        while (!queue.isEmpty() && queue.peek().due <= now && queue.peek().order < set) {
-            queue.poll().task.run();
+        while (!queue.isEmpty() && queue.first().due <= now && queue.first().order < set) {
+            queue.pollFirst().task.run();
         }
         wake();
     }
 
     private void wake() {
-        if (!queue.isEmpty() && queue.peek().due < wakeAt) {
-            wakeAt = queue.peek().due;
+        if (!queue.isEmpty() && queue.first().due < wakeAt) {
+            wakeAt = queue.first().due;
             waker.wakeAfter(Math.max(0, wakeAt - clock.now()), this::run);
         }
     }
--- a/src/test/java/ferngrade/config/NodeConfigTest.java
+++ b/src/test/java/ferngrade/config/NodeConfigTest.java
@@ -64,6 +64,7 @@
             {"discovery", "\"127.0.0.1:99999\"", "discovery is not address:port: 127.0.0.1:99999"},
             {"seed", "\"xyz\"", "seed is not a hexadecimal number: xyz"},
             {"limits", "{\"sockets\":1}", "limits.sockets must be a number of 64 or more: 1"},
+            {"limits", "{\"memory_mb\":\"x\"}", "limits.memory_mb must be a number of 16 or more: \"x\""},
             {"settings", "[]", "settings is missing or not an object"},
             {"settings", "{\"Me\":\"x\"}", "settings: setting Me is not a number: x"},
             {"settings", "{}", "settings: Settings.classes is out of range: []"},
--- a/src/test/java/ferngrade/net/NodeStoriesTest.java
+++ b/src/test/java/ferngrade/net/NodeStoriesTest.java
@@ -16,6 +16,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -125,7 +127,19 @@
             {RawHttp.message(good.replace("9000m", "9000"), ""), 400},
             {RawHttp.message(good.replace("9000m", "soonm"), ""), 400},
             {RawHttp.message(good.replace("Req-Id: a", "Req-Id: a/../b"), ""), 400},
+            {RawHttp.message(good.replace("9000m", "0x1p3m"), ""), 400},
+            {RawHttp.message(good.replace("9000m", "-5m"), ""), 400},
+            {RawHttp.message(good + "\r\nReq-Id: b", ""), 400},
+            {RawHttp.message(good + "\r\nReq-Extra: slots=999999", ""), 400},
+            {RawHttp.message(job("POST /api", "a", "plan"), ""), 400},
+            {RawHttp.message(good.replace("/api", "/caf\u00e9"), ""), 400},
+            {good + "\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n", 400},
+            {good + "\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nab", 400},
+            {good + "\r\nContent-Length: -5\r\n\r\n", 400},
+            {good + "\r\nX: " + "x".repeat(9000), 400},
             {good + "\r\nContent-Length: 70000\r\n\r\n", 413},
+            {good + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("x".repeat(70_000)), 413},
+            {good + "\r\nContent-Length: 5\r\n\r\nab", 408},
             {"GET /api HTTP/1.1\r\n\r\n", 405},
             {RawHttp.message("POST /_jobs/news HTTP/1.1", "{\"id\":7"), 400},
             {RawHttp.message("POST /_jobs/news HTTP/1.1", "{\"id\":\"a\",\"from\":\"s-1\",\"state\":\"done\"}"), 400},
@@ -138,12 +152,76 @@
         try (RawHttp client = RawHttp.to(node.address()); RawHttp bad = RawHttp.to(node.address())) {
             client.write(RawHttp.message(job("POST /api", "c", "order"), ""));
             new RawHttp(worker.accept()).read();
-            assertEquals(bad.write(request).read().status(), status);
+            Message answer = bad.write(request).read();
+            assertEquals(answer.status(), status);
+            assertEquals(answer.headers().get("Connection"), "close");
+            assertNull(bad.read());
             callBack("c", "\"state\":\"done\",\"result\":\"soup\"");
             assertEquals(client.read().body(), "soup");
         }
     }
 
+    @Test
+    public void crowdOfSilentConnectionsPushesOutNeitherAKnownClientNorACallBack() throws Exception {
+        start(list(1, "active"));
+        List<RawHttp> crowd = new ArrayList<>();
+        try (RawHttp client = RawHttp.to(node.address()).write(RawHttp.message(job("POST /api", "a", "order"), ""));
+                RawHttp worked = new RawHttp(worker.accept())) {
+            worked.read();
+            worked.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(callBack("a", "\"state\":\"done\",\"result\":\"one\""), 204);
+            assertEquals(client.read().body(), "one");
+            // More than there is room for: the node holds 64 descriptors in all.
+            for (int i = 0; i < 100; i++) {
+                crowd.add(RawHttp.to(node.address()));
+            }
+            client.write(RawHttp.message(job("POST /api", "b", "order"), ""));
+            assertEquals(worked.read().headers().get("Req-Id"), "b");
+            assertEquals(callBack("b", "\"state\":\"done\",\"result\":\"two\""), 204);
+            assertEquals(client.read().body(), "two");
+            for (RawHttp each : crowd) {
+                assertNull(each.read());
+            }
+        } finally {
+            for (RawHttp each : crowd) {
+                each.close();
+            }
+        }
+    }
+
+    @Test
+    public void clientThatSendsFarTooMuchStillReadsWhy() throws Exception {
+        start(list(1, "active"));
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(job("POST /api", "a", "order") + "\r\nContent-Length: 60000000\r\n\r\n");
+            String part = "x".repeat(1 << 20);
+            for (int i = 0; i < 8; i++) {
+                client.write(part);
+            }
+            assertEquals(client.read().status(), 413);
+            assertNull(client.read());
+        }
+    }
+
+    @Test
+    public void requestsOnOneConnectionAreAnsweredInTurnAndTooManyEndIt() throws Exception {
+        start(list(1, "active"));
+        try (RawHttp client = RawHttp.to(node.address())) {
+            String ready = "GET /-/ready HTTP/1.1\r\n\r\n";
+            client.write(RawHttp.message(job("POST /api", "a", "order"), "") + ready.repeat(40));
+            try (RawHttp worked = new RawHttp(worker.accept())) {
+                worked.read();
+                assertEquals(callBack("a", "\"state\":\"done\",\"result\":\"soup\""), 204);
+                assertEquals(client.read().body(), "soup");
+            }
+            int answers = 0;
+            while (client.read() != null) {
+                answers++;
+            }
+            assertEquals(answers, 16);
+        }
+    }
+
     @Test
     public void nodeIsReadyOnceAListIsKnownAndKeepsItWhenDiscoveryBreaks() throws Exception {
         start(null);
@@ -251,9 +329,10 @@
 
     private static NodeConfig config(int discoveryPort, String known) throws Exception {
         String config = "{'name':'n0','listen':'127.0.0.1:0','discovery':'127.0.0.1:" + discoveryPort
-                + "','seed':'7','settings':{'Zones':['z'],'Kinds':['k'],'Tenants':[{'Name':'t','Share':1}],"
+                + "','seed':'7','limits':{'sockets':64},'settings':{'Zones':['z'],'Kinds':['k'],'Tenants':[{'Name':'t','Share':1}],"
                 + "'Extra':{'TellsStart':true},'Ceilings':{'MostTries':5,'RetryAfter':true,'MaxRetryAfter':2000},"
-                + "'Classes':[{'Name':'order','Effect':'at_most_once','Deadline':9000.0}]}}";
+                + "'Classes':[{'Name':'order','Effect':'at_most_once','Deadline':9000.0},"
+                + "{'Name':'plan','Effect':'deduplicated','KeyScope':'all'}]}}";
         var json = Json.parse(config.replace('\'', '"')).asObject();
         if (known != null) {
             json.set("known", Json.parse(known));
--- a/src/test/java/ferngrade/net/RequestReaderTest.java
+++ b/src/test/java/ferngrade/net/RequestReaderTest.java
@@ -5,8 +5,11 @@
 import com.eclipsesource.json.Json;
 import ferngrade.Dispatcher.Job;
 import ferngrade.config.SettingsMapping;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -14,7 +17,7 @@
 public class RequestReaderTest {
     @DataProvider
     public Object[][] deadlines() {
-        return new Object[][] {{"480m", 480.0}, {"480000u", 480.0}, {"0.5m", 0.5}, {null, 9000.0}, {"1e300m", 9000.0}};
+        return new Object[][] {{"480m", 480.0}, {"480000u", 480.0}, {"0.5m", 0.5}, {null, 9000.0}, {"999999999999m", 9000.0}};
     }
 
     @Test(dataProvider = "deadlines")
@@ -22,12 +25,13 @@
         SettingsMapping settings = new SettingsMapping();
         settings.put(Json.parse("{\"Classes\":[{\"Name\":\"plan\"},{\"Name\":\"order\",\"Deadline\":9000}],"
                 + "\"Tenants\":[{\"Name\":\"s\"},{\"Name\":\"t\"}]}").asObject());
-        HttpHeaders headers = new DefaultHttpHeaders().set("req-id", "a").set("Req-Kind", "order")
+        HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api");
+        HttpHeaders headers = request.headers().set("req-id", "a").set("Req-Kind", "order")
                 .set("Req-Owner", "t").set("Req-Cost", "1500").set("Req-Extra", "slots=2,other=x,memory=0.5");
         if (text != null) {
             headers.set("Req-Deadline", text);
         }
-        Job job = new RequestReader(settings.build()).job(headers, 100);
+        Job job = new RequestReader(settings.build()).job(request, 100);
         assertEquals(job, new Job("a", 1, 1, 100 + millis, 1.5, 2, 0.5));
     }
 }
--- a/src/test/java/ferngrade/node/NodeTest.java
+++ b/src/test/java/ferngrade/node/NodeTest.java
@@ -40,7 +40,7 @@
         Clock clock = () -> now;
         timers = new Timers(clock, (millis, run) -> { });
         node = new Node(new Node.Surroundings(clock, timers, tasks::add, new ScriptedWorkers(),
-                (peer, message) -> { }, new Log(clock, line -> { })), 2, asked -> {
+                (peer, message) -> { }, new Log(clock, line -> { })), new Node.Room(2, 100, 700), asked -> {
                     actions = asked;
                     return new Recorder();
                 });
@@ -185,7 +185,7 @@
         request("a", 5000);
         request("b", 5000);
         request("c", 5000);
-        assertEquals(answers, List.of("refused 1000.0"));
+        assertEquals(answers, List.of("refused 700.0"));
         assertFalse(node.request(job("a", 5000), call("a"), new Answers()));
         assertEquals(heard, List.of("arrived a", "arrived b"));
     }
