Count late starts once they are late, and cut slices by smoothed counts

Checked: a trace of each cycle (slice, demand, sent, refused, what was counted). In one cycle 4 jobs were sent and 2 were late: the slice went from 45.8 to 13.9 a second, with 24 a second accepted just before; 7 of 14 cut 30.9 to 10.4. growOrTrim divided a single cycle's refusals by its sends, 5 to 15 of them. And a late start was counted in Choice.started, when the job came out of the queue at last: up to 10 s after it had become late, while the queue grew on.

Each send now has a timer at the wait from which on it counts as not accepted; the counts that a cut goes by are smoothed (COUNT_WEIGHT), and a cut uses up what it went by. The proven floor is smoothed too. BudgetTest: stuck jobs cut before they start; two late jobs do not undo a slice that carried many. Both fail without the change. The lines at fault: Choice.growOrTrim and countStart.

--- a/src/main/java/ferngrade/Choice.java
+++ b/src/main/java/ferngrade/Choice.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.DoubleConsumer;
 import java.util.stream.IntStream;
 
 /**
@@ -41,6 +42,11 @@
     private static final double FLOOR = 1;
     /** Weight of the newest cycle in the smoothed demand. */
     private static final double DEMAND_WEIGHT = 0.4;
+    /**
+     * Weight of the newest cycle in the counts that a cut goes by. A dispatcher sends few jobs in a cycle: of
+     * four, two late ones are chance, and cutting by them alone refuses what an idle fleet could do.
+     */
+    private static final double COUNT_WEIGHT = 0.4;
     /** Cycles for which a peer's last message counts. */
     private static final int FRESH_CYCLES = 3;
     /** Seconds of its level that a tenant may have saved up. */
@@ -139,6 +145,9 @@
     private double crowding;
     private double lastCut = Double.NEGATIVE_INFINITY;
     private double accepted;
+    private double sentMean;
+    private double refusedMean;
+    private double acceptedMean;
     private int cycle;
     private double lastOver;
     private final int[] peers;
@@ -184,7 +193,10 @@
     }
 
     private void growOrTrim(double seconds) {
-        double bad = sent == 0 ? 0 : (double) refused / sent;
+        sentMean += COUNT_WEIGHT * (sent - sentMean);
+        refusedMean += COUNT_WEIGHT * (refused - refusedMean);
+        acceptedMean += COUNT_WEIGHT * (accepted / seconds - acceptedMean);
+        double bad = refusedMean == 0 ? 0 : refusedMean / Math.max(sentMean, refusedMean);
         double most = SLACK * demand + FLOOR;
         double change = GROW - TRIM * bad;
         // The start is generous until a first cut shows a limit. A dispatcher that waits for its clients
@@ -195,8 +207,11 @@
         // Only growth stops at the bound: cutting to it would destroy what peers pass through this slice.
         if (change < 0 || slice < most) {
             // What was accepted proves that the slots exist; cutting below it starves an idle fleet.
-            lastCut = change < 0 ? lastCycle : lastCut;
-            double proven = Math.min(slice, accepted / seconds);
+            if (change < 0) {
+                lastCut = lastCycle;
+                refusedMean = 0;
+            }
+            double proven = Math.min(slice, acceptedMean);
             slice = Math.max(Math.max(FLOOR, proven), slice * Math.max(CUT_LEAVES, 1 + change));
         } else {
             slice = Math.max(most, slice * (1 - GROW));
@@ -402,7 +417,7 @@
 
     // ---- Moves: a job that waits where others start at once ----
 
-    private final Map<Long, Request> watched = new HashMap<>();
+    private final Map<Long, DoubleConsumer> watched = new HashMap<>();
     private double moves = MOVES_SAVED;
     private long nextToken = FIRST_JOB_TOKEN;
 
@@ -419,14 +434,23 @@
     }
 
     private void watchStart(Request request, Node node) {
+        if (!settings.tellsStart()) {
+            return;
+        }
+        Attempt attempt = request.attempts.get(request.attempts.size() - 1);
+        watch(lateAfter(request, node), now -> countLate(attempt));
         boolean movable = request.jobClass.effect() != Effect.UNSAFE && settings.limits().secondCopies();
-        if (movable && settings.tellsStart() && request.attempts.size() < settings.limits().tries()) {
+        if (movable && request.attempts.size() < settings.limits().tries()) {
             double least = 2 * settings.roundMs() + 2 * trip(node);
-            watched.put(nextToken, request);
-            actions.timer(Math.max(least, PATIENCE * slack(request, node)), nextToken++);
+            watch(Math.max(least, PATIENCE * slack(request, node)), now -> move(request, now));
         }
     }
 
+    private void watch(double after, DoubleConsumer then) {
+        watched.put(nextToken, then);
+        actions.timer(after, nextToken++);
+    }
+
     /**
      * A job stuck in a queue is tried elsewhere too, the old place kept. Where queues are short that gains
      * little and may run the job twice: no moves while workers answer 'full'. Deep queues jam long before
@@ -507,20 +531,30 @@
         double delay = now - attempt.sentAt;
         zone.trip = Math.min(zone.trip, delay);
         learnWait(node, delay - zone.trip, now);
-        countStart(request, node, delay, now);
+        countStart(request, attempt);
         node.hold *= 0.7;
     }
 
-    /** Where queues are deep 'full' comes too late: a start too late to be in time counts as not accepted. */
-    private void countStart(Request request, Node node, double delay, double now) {
+    /** The wait for its start from which on a job counts as not accepted. */
+    private double lateAfter(Request request, Node node) {
+        return LATE * Math.max(slack(request, node), request.jobClass.aim());
+    }
+
+    /**
+     * Where queues are deep 'full' comes too late: a start too late to be in time counts as not accepted. It
+     * counts once it has become too late, not when it comes: by then the queue has grown for as long again.
+     */
+    private void countLate(Attempt attempt) {
         // A job sent before the last cut waits for what was cut for: counted again it would cut a slice that
         // is small already, for as long as the queues take to drain (incident iea15a6).
-        if (now - delay < lastCut) {
-            return;
-        }
-        if (delay > LATE * Math.max(slack(request, node), request.jobClass.aim())) {
+        if (attempt.outcome == null && Double.isNaN(attempt.startedAt) && attempt.sentAt >= lastCut) {
+            attempt.late = true;
             refused++;
-        } else {
+        }
+    }
+
+    private void countStart(Request request, Attempt attempt) {
+        if (!attempt.late && attempt.sentAt >= lastCut) {
             accepted += request.job.slots();
         }
     }
@@ -561,7 +595,7 @@
                 node.proven = true;
                 group(node).done++;
                 if (Double.isNaN(attempt.startedAt)) {
-                    countStart(request, node, 0, now);
+                    countStart(request, attempt);
                 }
                 learnService(request, attempt, now);
             }
@@ -576,7 +610,7 @@
             case TIMEOUT -> {
                 // In a deep queue a job runs out of time though its worker works. A job sent before the last
                 // cut waited for what was cut for; and only a worker that was silent all along has failed.
-                if (attempt.sentAt >= lastCut && node.ejectedUntil <= now) {
+                if (attempt.sentAt >= lastCut && node.ejectedUntil <= now && !attempt.late) {
                     refused++;
                 }
                 node.proven = true;
@@ -890,7 +924,7 @@
         } else if (token == WATCH_TOKEN) {
             actions.watch();
         } else if (watched.containsKey(token)) {
-            move(watched.remove(token), now);
+            watched.remove(token).accept(now);
         }
     }
 
--- a/src/main/java/ferngrade/Notes.java
+++ b/src/main/java/ferngrade/Notes.java
@@ -62,6 +62,7 @@
         final Node node;
         final double sentAt;
         double startedAt = Double.NaN;
+        boolean late;
         Outcome outcome;
 
         Attempt(Node node, double sentAt) {
--- a/src/test/java/ferngrade/BudgetTest.java
+++ b/src/test/java/ferngrade/BudgetTest.java
@@ -149,6 +149,39 @@
         assertTrue(choice.slice() > cut, choice.slice() + " after " + cut);
     }
 
+    @Test
+    void jobsThatHaveNotStartedInTimeCutTheSliceBeforeTheyStart() {
+        Fixture.Recorder out = new Fixture.Recorder();
+        Choice choice = dispatcher(0, 1, out, List.of(new Tenant("a", 1, 10)));
+        arrive(choice, out, 50, 0, 10, Outcome.OK);
+        choice.timer(500, CYCLE);
+        double before = choice.slice();
+        for (int i = 0; i < 50; i++) {
+            choice.arrived(510, Fixture.job("stuck" + i, 0, 9_000));
+        }
+        List<long[]> due = out.timers.stream().filter(timer -> timer[1] >= 16).toList();
+        due.forEach(timer -> choice.timer(510 + timer[0], timer[1]));
+        choice.timer(1_000, CYCLE);
+        assertTrue(choice.slice() < before, choice.slice() + " after " + before);
+    }
+
+    @Test
+    void fewLateJobsOfFewDoNotCutASliceThatCarriedManyBefore() {
+        Fixture.Recorder out = new Fixture.Recorder();
+        Choice choice = dispatcher(0, 1, out, List.of(new Tenant("a", 1, 10)));
+        for (int cycle = 1; cycle <= 10; cycle++) {
+            arrive(choice, out, 20, 0, cycle * 500 - 10, Outcome.OK);
+            choice.timer(cycle * 500, CYCLE);
+        }
+        double before = choice.slice();
+        arrive(choice, out, 2, 0, 5_010, Outcome.OK);
+        choice.arrived(5_020, Fixture.job("late", 0, 14_000));
+        long token = out.timers.get(out.timers.size() - 1)[1];
+        choice.timer(5_400, token);
+        choice.timer(5_500, CYCLE);
+        assertTrue(choice.slice() > 0.75 * before, choice.slice() + " after " + before);
+    }
+
     @Test
     void excessTenantIsRefusedUnsentAndTheOtherServed() {
         Fixture.Recorder out = new Fixture.Recorder();
