Give up jobs that a worker does not take, and keep their class off it; trim harder, regrow faster

Checked: a trace of every attempt that ended otherwise than well. Ruled out: late or repeated call-backs, pooled connections gone stale (none closed as idle, none written to).

The transport tells of the 202 (Workers.Listener.taken); without one, or a call-back, a job is given up after 1 s as TIMEOUT, its connection closed. Choice.shun keeps that class off that worker, longer each time, one job on trial. Failed connects eject and no longer trim. TRIM 4 instead of 2, and a slice grows up to twice as fast where jobs start at once (EAGER). RulesTest and NodeTest have the stories.

--- a/src/main/java/ferngrade/Choice.java
+++ b/src/main/java/ferngrade/Choice.java
@@ -32,8 +32,10 @@
     private static final double CYCLE = 500;
     /** Share by which a slice in demand grows in a cycle: back from a half in 2 s. */
     private static final double GROW = 0.2;
-    /** Cut of a slice, times the refused share of a cycle's attempts: it settles where a tenth is refused. */
-    private static final double TRIM = 2;
+    /** How much faster it grows where jobs start without any wait: from a third in a second and a half. */
+    private static final double EAGER = 1;
+    /** Cut of a slice, times the refused share of its attempts: it settles where a twentieth is refused. */
+    private static final double TRIM = 4;
     /** The least that one cut leaves: the refusals of one burst must not stop a dispatcher. */
     private static final double CUT_LEAVES = 0.3;
     /** A slice is at most so many times what is asked, so that a trim is felt within a cycle or two. */
@@ -86,6 +88,9 @@
     /** First and longest ejection of a worker that fails, ms. */
     private static final double EJECT_FIRST = 1000;
     private static final double EJECT_MOST = 16000;
+    /** First and longest time for which a worker gets no jobs of a class that it does not take, ms. */
+    private static final double SHUN_FIRST = 8000;
+    private static final double SHUN_MOST = 32000;
     /** Share of the fleet that may be ejected at a time. */
     private static final double EJECT_SHARE = 0.4;
     /** Sends to a zone without any sign of life before it is taken for cut off. */
@@ -145,6 +150,8 @@
     private double crowding;
     private double lastCut = Double.NEGATIVE_INFINITY;
     private double accepted;
+    private int starts;
+    private double waited;
     private double sentMean;
     private double refusedMean;
     private double acceptedMean;
@@ -178,6 +185,8 @@
         accepted = 0;
         full = 0;
         refused = 0;
+        starts = 0;
+        waited = 0;
         actions.timer(CYCLE, CYCLE_TOKEN);
     }
 
@@ -198,7 +207,9 @@
         acceptedMean += COUNT_WEIGHT * (accepted / seconds - acceptedMean);
         double bad = refusedMean == 0 ? 0 : refusedMean / Math.max(sentMean, refusedMean);
         double most = SLACK * demand + FLOOR;
-        double change = GROW - TRIM * bad;
+        // Where jobs start at once there is room for more; less, the nearer their waits come to being late.
+        double ease = starts == 0 ? 0 : Math.max(0, 1 - waited / starts);
+        double change = GROW * (1 + EAGER * ease) - TRIM * bad;
         // The start is generous until a first cut shows a limit. A dispatcher that waits for its clients
         // sees no demand for some cycles; growing from the floor then refuses them on an idle fleet.
         if (Double.isNaN(slice) || change >= 0 && lastCut == Double.NEGATIVE_INFINITY) {
@@ -357,7 +368,8 @@
                 }
                 double cost = cost(request, node, now) + random.nextDouble();
                 if (desperate) {
-                    cost += Math.max(0, Math.max(node.holdUntil, node.ejectedUntil) - now);
+                    double shunned = node.shunnedUntil[request.job.jobClass()];
+                    cost += Math.max(0, Math.max(shunned, Math.max(node.holdUntil, node.ejectedUntil)) - now);
                 }
                 if (cost < least) {
                     least = cost;
@@ -406,6 +418,9 @@
             moves = Math.min(MOVES_SAVED, moves + MOVE_SHARE);
         }
         countCold(node, request.job.slots(), now);
+        int jobClass = request.job.jobClass();
+        // One job at a time shows whether the worker takes the class again.
+        node.shunnedUntil[jobClass] = node.shunning[jobClass] > 0 ? now + SHUN_FIRST : 0;
         Zone zone = zone(node.entry.zone());
         if (zone.unheard++ == 0) {
             zone.firstUnheard = now;
@@ -491,7 +506,8 @@
 
     private boolean inFavour(Request request, Node node, double now) {
         boolean onTrial = node.ejection > 0 && node.held > 0;
-        if (node.holdUntil > now || node.ejectedUntil > now || onTrial || tried(request, node)) {
+        boolean shunned = node.shunnedUntil[request.job.jobClass()] > now;
+        if (node.holdUntil > now || node.ejectedUntil > now || onTrial || shunned || tried(request, node)) {
             return false;
         }
         Zone zone = zone(node.entry.zone());
@@ -526,6 +542,7 @@
         attempt.startedAt = now;
         keepOnly(request, number);
         Node node = attempt.node;
+        unshun(node, request);
         signOfLife(node, now);
         Zone zone = zone(node.entry.zone());
         double delay = now - attempt.sentAt;
@@ -557,6 +574,10 @@
         if (!attempt.late && attempt.sentAt >= lastCut) {
             accepted += request.job.slots();
         }
+        if (!Double.isNaN(attempt.startedAt)) {
+            starts++;
+            waited += (attempt.startedAt - attempt.sentAt) / lateAfter(request, attempt.node);
+        }
     }
 
     private void learnWait(Node node, double wait, double now) {
@@ -592,6 +613,7 @@
             case OK -> {
                 signOfLife(node, now);
                 node.ejection = 0;
+                unshun(node, request);
                 node.proven = true;
                 group(node).done++;
                 if (Double.isNaN(attempt.startedAt)) {
@@ -608,6 +630,11 @@
                 full++;
             }
             case TIMEOUT -> {
+                if (node.heardAt >= attempt.sentAt && Double.isNaN(attempt.startedAt)
+                        && now < request.job.due() - settings.roundMs()) {
+                    shun(node, request.job.jobClass(), now);
+                    return;
+                }
                 // In a deep queue a job runs out of time though its worker works. A job sent before the last
                 // cut waited for what was cut for; and only a worker that was silent all along has failed.
                 if (attempt.sentAt >= lastCut && node.ejectedUntil <= now && !attempt.late) {
@@ -625,11 +652,8 @@
                 if (outcome == Outcome.CONNECT_FAILED) {
                     zone(node.entry.zone()).unreachable++;
                 }
-                // Only the failure that ejects a worker trims: the jobs it swallowed before say nothing of
-                // the others.
-                if (node.ejectedUntil <= now && outcome != Outcome.ERROR && outcome != Outcome.RESET) {
-                    refused++;
-                }
+                // None of these trims: they speak of one worker, which the ejection answers, and not of the
+                // others. If what these can do has become too little, late starts show it.
                 node.proven = true;
                 eject(node, now);
             }
@@ -637,6 +661,20 @@
         }
     }
 
+    /**
+     * A worker that works, but did not take this job: it may hang on all of its class. Ejected, it would be
+     * missed for the others; kept, it would swallow a job of the class at every pick.
+     */
+    private static void shun(Node node, int jobClass, double now) {
+        node.shunning[jobClass] = Math.min(SHUN_MOST, Math.max(SHUN_FIRST, 2 * node.shunning[jobClass]));
+        node.shunnedUntil[jobClass] = now + node.shunning[jobClass];
+    }
+
+    private static void unshun(Node node, Request request) {
+        node.shunning[request.job.jobClass()] = 0;
+        node.shunnedUntil[request.job.jobClass()] = 0;
+    }
+
     private void learnService(Request request, Attempt attempt, double now) {
         double from = Double.isNaN(attempt.startedAt) ? attempt.sentAt : attempt.startedAt;
         double took = Math.max(0.1, now - from);
@@ -815,7 +853,7 @@
             Node node = nodes.get(entry.id());
             if (node == null || node.entry.startedAt() != entry.startedAt()) {
                 // A restarted process shares nothing with the old one: neither its jobs nor what was learned.
-                node = new Node(entry);
+                node = new Node(entry, classService.length);
                 nodes.put(entry.id(), node);
             }
             node.entry = entry;
--- a/src/main/java/ferngrade/Notes.java
+++ b/src/main/java/ferngrade/Notes.java
@@ -26,11 +26,16 @@
         double hold;
         double ejectedUntil = Double.NEGATIVE_INFINITY;
         double ejection;
+        /** Until when, by class, it gets no jobs of a class that it did not take, and for how long next time. */
+        final double[] shunnedUntil;
+        final double[] shunning;
         double heardAt = Double.NEGATIVE_INFINITY;
         long coldWindow = -1;
         double coldSent;
 
-        Node(Worker entry) {
+        Node(Worker entry, int classes) {
+            this.shunnedUntil = new double[classes];
+            this.shunning = new double[classes];
             this.id = entry.id();
             this.entry = entry;
         }
--- a/src/main/java/ferngrade/net/WorkerClient.java
+++ b/src/main/java/ferngrade/net/WorkerClient.java
@@ -176,6 +176,7 @@
             int status = response.status().code();
             if (status == 202) {
                 taken = true;
+                listener.taken();
             } else if ((status == 503 || status == 504) && "1".equals(response.headers().get(Headers.DECLINED))) {
                 listener.ended(Outcome.FULL, report);
             } else {
--- a/src/main/java/ferngrade/node/Attempt.java
+++ b/src/main/java/ferngrade/node/Attempt.java
@@ -10,6 +10,7 @@
     final double sentAt;
     Workers.Sending sending;
     Timers.Timer timeout;
+    Timers.Timer acceptance;
     boolean written;
     boolean ended;
     /** The worker has told of it by a call-back. */
@@ -23,6 +24,14 @@
         this.sentAt = sentAt;
     }
 
+    /** Calls off the timers: the attempt has ended. */
+    void stopTimers() {
+        if (timeout != null) {
+            timeout.cancel();
+            acceptance.cancel();
+        }
+    }
+
     /** Written and not ended: what a call-back can be about. */
     boolean running() {
         return written && !ended;
--- a/src/main/java/ferngrade/node/Node.java
+++ b/src/main/java/ferngrade/node/Node.java
@@ -23,6 +23,12 @@
  * <p>All methods belong to one thread, the one on which {@code loop} runs its tasks.
  */
 public final class Node {
+    /**
+     * How long a worker may take to say that it has taken a job, ms; it does so before it begins. One that does
+     * not, say because it hangs on all jobs of a class, would hold the job until its end, and the module would
+     * take its place for one in work. A pause of the worker's machine is shorter.
+     */
+    private static final double ACCEPTANCE = 1000;
     /** The node's own answer where the module owes one, ms after the request's end. */
     private static final double GUARD = 10;
 
@@ -218,9 +224,7 @@
             return;
         }
         attempt.ended = true;
-        if (attempt.timeout != null) {
-            attempt.timeout.cancel();
-        }
+        attempt.stopTimers();
         Exchange exchange = attempt.exchange;
         exchange.out--;
         double now = clock.now();
@@ -250,6 +254,11 @@
         }
         double patience = timeout > 0 ? Math.min(timeout, left) : left;
         attempt.timeout = timers.after(patience, () -> giveUp(attempt, Outcome.TIMEOUT, Outcome.CONNECT_FAILED));
+        attempt.acceptance = timers.after(ACCEPTANCE, () -> {
+            if (!attempt.calledBack) {
+                giveUp(attempt, Outcome.TIMEOUT, Outcome.CONNECT_FAILED);
+            }
+        });
         attempt.sending = workers.send(exchange.call, member.address(), patience, new Listener(attempt));
     }
 
@@ -300,6 +309,11 @@
             attempt.written = true;
         }
 
+        @Override
+        public void taken() {
+            attempt.acceptance.cancel();
+        }
+
         @Override
         public void ended(Outcome outcome, Report report) {
             offer(() -> end(attempt, outcome, report));
--- a/src/main/java/ferngrade/node/Workers.java
+++ b/src/main/java/ferngrade/node/Workers.java
@@ -30,6 +30,9 @@
         /** The last byte is written: from here on the worker may run it. */
         void written();
 
+        /** The worker has taken the call: what becomes of it comes by call-back. */
+        void taken();
+
         /** The attempt has ended; a call that the worker has taken ends by its call-back instead. */
         void ended(Outcome outcome, Report report);
     }
--- a/src/test/java/ferngrade/RulesTest.java
+++ b/src/test/java/ferngrade/RulesTest.java
@@ -69,6 +69,24 @@
         assertTrue(out.sends.stream().skip(1).anyMatch(send -> send.worker() == worker));
     }
 
+    @Test
+    void workerThatHangsOnOneClassGetsNoMoreOfItAndKeepsTheOthers() {
+        var classes = List.of(Fixture.jobClass(Effect.UNSAFE, Scope.ALL), Fixture.jobClass(Effect.SAFE, Scope.ALL));
+        Choice choice = new Choice(new Dispatcher.Settings(0, 1, 0, 2, classes, List.of(), Fixture.settings(0, 1,
+                classes.get(0)).limits(), Fixture.COLD, false, true, true, 0.01), 7, 0, out);
+        choice.members(0, News.STORED, FLEET);
+        choice.arrived(10, Fixture.job("hangs", 0, 5_010));
+        long worker = out.last().worker();
+        choice.progressed(500, "hangs", 0, 0.1);
+        choice.ended(1_010, "hangs", 0, Outcome.TIMEOUT, 1_000, false, Report.NONE);
+        for (int i = 0; i < 60; i++) {
+            choice.arrived(1_020, new Dispatcher.Job("r" + i, i % 2, 0, 6_000, 0, 1, 0));
+        }
+        List<Fixture.Send> toIt = out.sends.stream().skip(1).filter(send -> send.worker() == worker).toList();
+        assertTrue(toIt.stream().noneMatch(send -> Integer.parseInt(send.id().substring(1)) % 2 == 0), "" + toIt);
+        assertTrue(!toIt.isEmpty(), "it still gets the other class");
+    }
+
     @Test
     void workerThatWorksIsNotEjectedWhenAJobRunsOutOfTimeInItsQueue() {
         Choice choice = choice(Effect.UNSAFE, Scope.ALL, false);
--- a/src/test/java/ferngrade/net/NodeStoriesTest.java
+++ b/src/test/java/ferngrade/net/NodeStoriesTest.java
@@ -151,13 +151,16 @@
         start(list(1, "active"));
         try (RawHttp client = RawHttp.to(node.address()); RawHttp bad = RawHttp.to(node.address())) {
             client.write(RawHttp.message(job("POST /api", "c", "order"), ""));
-            new RawHttp(worker.accept()).read();
+            RawHttp worked = new RawHttp(worker.accept());
+            worked.read();
+            worked.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
             Message answer = bad.write(request).read();
             assertEquals(answer.status(), status);
             assertEquals(answer.headers().get("Connection"), "close");
             assertNull(bad.read());
             callBack("c", "\"state\":\"done\",\"result\":\"soup\"");
             assertEquals(client.read().body(), "soup");
+            worked.close();
         }
     }
 
--- a/src/test/java/ferngrade/net/WorkerClientTest.java
+++ b/src/test/java/ferngrade/net/WorkerClientTest.java
@@ -167,6 +167,9 @@
             told.add("written");
         }
 
+        @Override
+        public void taken() { }
+
         @Override
         public void ended(Outcome outcome, Report report) {
             told.add(outcome.name());
--- a/src/test/java/ferngrade/node/NodeTest.java
+++ b/src/test/java/ferngrade/node/NodeTest.java
@@ -108,6 +108,29 @@
         assertEquals(heard.subList(2, 4), List.of("ended a/0 TIMEOUT", "ended b/0 CONNECT_FAILED"));
     }
 
+    @Test
+    public void jobThatItsWorkerDoesNotTakeIsGivenUpWellBeforeItsEnd() {
+        for (String id : List.of("hangs", "taken")) {
+            request(id, 21_000);
+            send(id, 1);
+            sent.get(sent.size() - 1).written();
+        }
+        sent.get(1).taken();
+        pass(1000);
+        assertEquals(given, List.of("hangs"));
+        assertEquals(heard.subList(2, heard.size()), List.of("ended hangs/0 TIMEOUT"));
+    }
+
+    @Test
+    public void jobThatWasCalledBackAboutCountsAsTakenWithoutTheWorkersWord() {
+        request("a", 21_000);
+        send("a", 1);
+        sent.get(0).written();
+        say("a", "s-1", News.State.STARTED);
+        pass(1000);
+        assertEquals(given, List.of());
+    }
+
     @Test
     public void cancelGivesUpOnceAndTheAttemptEndsOnce() {
         out("a", 1);
