Open a discovery watch anew after one missed sign of life, so that drains are told in time

At n0 the watch opened at 9.99 s said nothing more until the node ended it at 17.22 s; drains at 7.98 and 12.08 s fell into that silence. What discovery has to tell counts as told after 6 s at the latest, and DiscoveryWatch.SILENCE was 6.5 s, three signs of life. Ruled out: a send that waits on a connect across the telling (it asks mayStart at its first byte), and the retry after a break (100 to 500 ms in the log).

A sign of life comes every 2 s; a watch without one is ended after 2.5 s, one that does not begin to answer after 1 s, and opened anew from its version. DiscoveryWatchTest sets the clock; with 6.5 s it waits for an end that does not come and fails.

--- a/src/main/java/ferngrade/net/DiscoveryWatch.java
+++ b/src/main/java/ferngrade/net/DiscoveryWatch.java
@@ -38,8 +38,14 @@
  * silent is opened anew from the last version seen; until then the last list stays.
  */
 final class DiscoveryWatch {
-    /** An empty line comes every 2 s; three missing mean that the connection is dead. */
-    private static final double SILENCE = 6500;
+    /**
+     * An empty line comes every 2 s; a missing one means that the connection is dead. What discovery had to tell
+     * meanwhile counts as told a few seconds later all the same: waiting for more would send jobs to workers that
+     * drain.
+     */
+    private static final double SILENCE = 2500;
+    /** The agent answers at once; a watch that does not begin to is dead too. */
+    private static final double FIRST_SILENCE = 1000;
     private static final double RETRY_FIRST = 100;
     /** The agent is on the node's own machine: asking it again is cheap, and being told late is not. */
     private static final double RETRY_MOST = 500;
@@ -123,15 +129,15 @@
             silence.cancel();
             again("watch ended");
         });
-        heard(opened);
+        listen(opened, FIRST_SILENCE);
         opened.writeAndFlush(request);
     }
 
-    private void heard(Channel from) {
+    private void listen(Channel from, double patience) {
         if (silence != null) {
             silence.cancel();
         }
-        silence = timers.after(SILENCE, from::close);
+        silence = timers.after(patience, from::close);
     }
 
     private void again(String why) {
@@ -167,7 +173,7 @@
     private final class BodyHandler extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            heard(ctx.channel());
+            listen(ctx.channel(), SILENCE);
             if (message instanceof HttpResponse response && response.status().code() != 200) {
                 ctx.close();
             }
