--- a/src/main/java/ferngrade/cli/Serve.java
+++ b/src/main/java/ferngrade/cli/Serve.java
@@ -7,10 +7,14 @@
 import ferngrade.node.Log;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 
 /** Runs a node until it is told to stop; on SIGHUP it reads its configuration anew. */
 @Command(name = "serve", description = "Runs a node, as the LB_* variables say.")
 final class Serve implements Callable<Integer> {
+    @Option(names = "--rehearse", description = "Start, stop in order and end, to show that a node can start.")
+    private boolean rehearse;
+
     @Override
     public Integer call() throws InterruptedException {
         // First of all: a SIGHUP that came while the node still starts would end it.
@@ -31,6 +35,10 @@
             System.err.println("ferngrade: listen: " + failed.getMessage());
             return 1;
         }
+        if (rehearse) {
+            server.stop();
+            return 0;
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(server), "stop"));
         while (true) {
             hangup.await();
