Keep idle connections to a worker for half as long as its side has let one live

Checked: a trace of each connection that ended, with how long it had stood idle. 214 of 241 transfers that broke were on reused connections, 190 of them after 100 ms to 1 s of idling and at once; none lived past 1 s, while the settings say 60 s, so ConnectionPool.mostIdleMs was 30 s. Ruled out: workers that die (12 in use throughout, no list change), the node's own closes (the trace shows the peer's).

ConnectionPool learns for each worker: a connection that its side ended, idle or under a transfer right after idling, halves its age into that worker's limit, which doubles again every 10 s. What this side ends teaches nothing. WorkerClientTest has the story on a clock that it sets and fails without the limit.

--- a/src/main/java/ferngrade/net/ConnectionPool.java
+++ b/src/main/java/ferngrade/net/ConnectionPool.java
@@ -12,12 +12,16 @@
 /**
  * The connections to workers: how many there are, and which stand idle. One that has stood idle for a good
  * part of the limit is ended: a worker closes it at the limit, and a job written into that close would be
- * reset, with nobody knowing whether it ran.
+ * reset, with nobody knowing whether it ran. Some machines close them far sooner than they are said to: when one
+ * has ended a connection of its own accord, its next ones are kept for half as long as that one lasted.
  */
 final class ConnectionPool {
     /** Share of the workers' idle limit after which a connection is ended. */
     private static final double RETIRE = 0.5;
     private static final double SWEEP = 1000;
+    /** The least that a learned limit becomes, ms, and the time in which it doubles again. */
+    private static final double LEAST = 20;
+    private static final double RECOVERY = 10_000;
     /** Idle connections kept for one worker. */
     private static final int MOST_IDLE = 16;
 
@@ -26,8 +30,12 @@
     private final double mostIdleMs;
     private final int most;
     private final Map<InetSocketAddress, Deque<WorkerConnection>> idle = new HashMap<>();
+    private final Map<InetSocketAddress, Learned> learned = new HashMap<>();
     private int open;
 
+    /** How long a worker's idle connections were found to last, and when. */
+    private record Learned(double limit, double at) { }
+
     ConnectionPool(Clock clock, Timers timers, double idleLimit, int most) {
         this.clock = clock;
         this.timers = timers;
@@ -41,7 +49,9 @@
         Deque<WorkerConnection> pooled = idle.get(worker);
         while (pooled != null && !pooled.isEmpty()) {
             WorkerConnection connection = pooled.pop();
-            if (connection.isActive() && clock.now() - connection.idleSince < mostIdleMs) {
+            double idleFor = clock.now() - connection.idleSince;
+            if (connection.isActive() && idleFor < limit(worker)) {
+                connection.reusedAfter = idleFor;
                 return connection;
             }
             connection.close();
@@ -49,6 +59,18 @@
         return null;
     }
 
+    private double limit(InetSocketAddress worker) {
+        Learned last = learned.get(worker);
+        return last == null ? mostIdleMs
+                : Math.min(mostIdleMs, last.limit * Math.pow(2, (clock.now() - last.at) / RECOVERY));
+    }
+
+    /** The worker's side has ended a connection that had stood idle for so many ms. */
+    private void lasted(InetSocketAddress worker, double millis) {
+        double limit = Math.max(LEAST, Math.min(limit(worker), RETIRE * millis));
+        learned.put(worker, new Learned(limit, clock.now()));
+    }
+
     /** The connections that stand idle. */
     int idle() {
         return idle.values().stream().mapToInt(Deque::size).sum();
@@ -85,14 +107,20 @@
             return;
         }
         connection.idleSince = clock.now();
+        connection.reusedAfter = -1;
         pooled.push(connection);
     }
 
     void ended(WorkerConnection connection) {
         open--;
         Deque<WorkerConnection> pooled = idle.get(connection.worker());
-        if (pooled != null) {
-            pooled.remove(connection);
+        boolean wasIdle = pooled != null && pooled.remove(connection);
+        if (!connection.endedHere()) {
+            if (wasIdle) {
+                lasted(connection.worker(), clock.now() - connection.idleSince);
+            } else if (connection.reusedAfter >= 0) {
+                lasted(connection.worker(), connection.reusedAfter);
+            }
         }
     }
 
@@ -106,6 +134,7 @@
             }
         }
         idle.values().removeIf(Deque::isEmpty);
+        learned.keySet().removeIf(worker -> limit(worker) >= mostIdleMs);
         timers.after(SWEEP, this::sweep);
     }
 }
--- a/src/main/java/ferngrade/net/WorkerConnection.java
+++ b/src/main/java/ferngrade/net/WorkerConnection.java
@@ -16,6 +16,9 @@
     private Transfer transfer;
     /** When the connection was put back into the pool. */
     double idleSince;
+    /** How long it stood idle before its present transfer, ms; negative if that is its first. */
+    double reusedAfter = -1;
+    private boolean endedHere;
 
     WorkerConnection(ConnectionPool pool) {
         this.pool = pool;
@@ -63,7 +66,7 @@
         transfer = null;
         if (answered == null || response.decoderResult().isFailure()) {
             transfer = answered;
-            ctx.close();
+            close();
             return;
         }
         boolean keep = HttpUtil.isKeepAlive(response);
@@ -71,7 +74,7 @@
         if (keep) {
             pool.release(this);
         } else {
-            ctx.close();
+            close();
         }
     }
 
@@ -80,10 +83,16 @@
         ctx.close();
     }
 
+    /** Ends the connection from this side. */
     void close() {
+        endedHere = true;
         context.close();
     }
 
+    boolean endedHere() {
+        return endedHere;
+    }
+
     private void ended() {
         pool.ended(this);
         Transfer broken = transfer;
--- a/src/test/java/ferngrade/net/WorkerClientTest.java
+++ b/src/test/java/ferngrade/net/WorkerClientTest.java
@@ -94,6 +94,36 @@
         assertNull(first.read());
     }
 
+    @Test
+    public void workerThatEndsIdleConnectionsEarlyIsSentNothingOverOldOnes() throws Exception {
+        send("a");
+        try (RawHttp first = new RawHttp(worker.accept())) {
+            first.read();
+            first.write(TAKEN);
+            pooled();
+            now = 400;
+        }
+        while (loop.submit(pool::idle).get() > 0) {
+            Thread.onSpinWait();
+        }
+        send("b");
+        RawHttp second = new RawHttp(worker.accept());
+        second.read();
+        second.write(TAKEN);
+        pooled();
+        // The first had lasted for 400 ms: this one is not trusted after 200.
+        now = 650;
+        send("c");
+        RawHttp third = new RawHttp(worker.accept());
+        assertEquals(third.read().headers().get("Req-Id"), "c");
+        assertNull(second.read());
+        third.write(TAKEN);
+        pooled();
+        now = 700;
+        send("d");
+        assertEquals(third.read().headers().get("Req-Id"), "d");
+    }
+
     @Test
     public void connectionThatEndsBeforeThe202IsAReset() throws Exception {
         send("a");
