--- a/src/test/java/ferngrade/net/NodeStoriesTest.java
+++ b/src/test/java/ferngrade/net/NodeStoriesTest.java
@@ -35,6 +35,8 @@
     public void listen() throws IOException {
         worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        worker.setSoTimeout(10_000);
+        discovery.setSoTimeout(10_000);
     }
 
     @AfterMethod(alwaysRun = true)
--- a/src/test/java/ferngrade/net/WorkerClientTest.java
+++ b/src/test/java/ferngrade/net/WorkerClientTest.java
@@ -49,6 +49,7 @@
         now = 0;
         wanted = true;
         worker = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        worker.setSoTimeout(10_000);
         loop.submit(() -> {
             timers = new Timers(() -> now, (millis, run) -> { });
             pool = new ConnectionPool(() -> now, timers, 60_000, 2);
