Split the build into a reactor: decisions, node, emulator, lab and one jar with all

Need: durable jobs, fronts and the laboratory are to be modules of their own, with arrows that the compiler holds. Sub-commands of other modules come through ServiceLoader.

--- a/src/main/java/ferngrade/cli/Cli.java
+++ b/node/src/main/java/ferngrade/cli/Cli.java
@@ -4,25 +4,28 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.util.Properties;
+import java.util.ServiceLoader;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
 
-/** The command line and its sub-commands. */
+/** The command line and its sub-commands: those of the lean jar, and what {@link SubCommand} finds beside them. */
 @Command(name = "ferngrade", description = "A dispatcher that pushes jobs to workers.",
         mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
         subcommands = {Serve.class, CheckConfig.class, WireHostCommand.class, VersionCommand.class,
             CommandLine.HelpCommand.class})
 public final class Cli implements Runnable {
     /** The exit code for a configuration that cannot be used. */
-    static final int BAD_CONFIG = 2;
+    public static final int BAD_CONFIG = 2;
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
     /** Runs one sub-command; returns the exit code. */
     public static int run(String... arguments) {
-        return new CommandLine(new Cli()).execute(arguments);
+        CommandLine line = new CommandLine(new Cli());
+        ServiceLoader.load(SubCommand.class).forEach(line::addSubcommand);
+        return line.execute(arguments);
     }
 
     @Override
