Let an overtaken wake-up of the timers do nothing, so that their number stays bounded

Seen while the node's timers were put into virtual time: each timer that is due before all others asks for a wake-up, and each wake-up, when it came, asked for the next one, also where an earlier one had overtaken it. The chains never ended, so the wake-ups of a running node grew with every such timer, and each of them ran at every due time.

Measured in TimersTest, 20,000 times a timer due before all others: 200,029,901 wake-ups before, at most 60,000 now, with at most two left over. A second property holds order and times of 5,000 timers, a quarter of them called off.

--- a/node/src/main/java/ferngrade/node/Timers.java
+++ b/node/src/main/java/ferngrade/node/Timers.java
@@ -14,7 +14,7 @@
     /** Calls back later, on the node's thread. */
     @FunctionalInterface
     public interface Waker {
-        /** Runs this after so many milliseconds; what was asked for earlier may come too. */
+        /** Runs this after so many milliseconds; what was asked for before is run too, in its time. */
         void wakeAfter(double millis, Runnable run);
     }
 
@@ -68,8 +68,19 @@
 
     private void wake() {
         if (!queue.isEmpty() && queue.first().due < wakeAt) {
-            wakeAt = queue.first().due;
-            waker.wakeAfter(Math.max(0, wakeAt - clock.now()), this::run);
+            double at = queue.first().due;
+            wakeAt = at;
+            waker.wakeAfter(Math.max(0, at - clock.now()), () -> woken(at));
+        }
+    }
+
+    /**
+     * A wake-up that an earlier one has overtaken does nothing: if each of them set up the next, their number would
+     * grow with every timer that is due before all others, and never fall.
+     */
+    private void woken(double at) {
+        if (at == wakeAt) {
+            run();
         }
     }
 }
