Emulate a fleet in virtual time around the real node, with judges, and run experiments on it

Need: what comes next (durable jobs, fronts, membership) has to be shown under failures that no installation gives on demand.

emulator/: workers (processor sharing, queues in three orders, cold start, key windows, drains, pauses), discovery that is late, silent, repeats itself, goes back or lies, open-loop clients with tenants and retries, a network with loss, resets and cuts, and a plan of thirteen faults. The program's own Node and Choice run unchanged on its Clock, Timers, Workers and Peers. Five judges that share no code with the program watch every event. lab/: lab run, compare, search, replay, report; TOML experiments, errors with file and line, JSON, CSV, charts, HTML.

Choice.slice() is public now, so that the budget can be drawn; no decision changed.

--- a/decisions/src/main/java/ferngrade/Choice.java
+++ b/decisions/src/main/java/ferngrade/Choice.java
@@ -197,7 +197,7 @@
     }
 
     /** The slots a second that this dispatcher may start. */
-    double slice() {
+    public double slice() {
         return slice;
     }
 
--- /dev/null
+++ b/emulator/src/main/java/ferngrade/emulator/EmulatedWorker.java
@@ -0,0 +1,65 @@
+package ferngrade.emulator;
+
+import ferngrade.Dispatcher.State;
+import ferngrade.Dispatcher.Worker;
+import ferngrade.node.Member;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** One worker of the emulated fleet: its place, its process, and what discovery truly should say of it. */
+public final class EmulatedWorker {
+    public final int number;
+    public final String name;
+    /** The id that nodes know it by; it tells nothing of the number. */
+    public final long id;
+    public final int zone;
+    public final int kind;
+    public final int cell;
+    public final WorkerModel model;
+    final int mostConnections;
+    final double handshakeWork;
+    /** Where it is reached: a made-up address in virtual time, where it listens on sockets. */
+    public final InetSocketAddress address;
+    State phase = State.READY;
+    /** Its machine says nothing any more. */
+    boolean vanished;
+    int connections;
+    /** Work on its way to it, which only the policy that sees everything may count. */
+    double inFlight;
+
+    EmulatedWorker(int number, long id, int zone, int kind, int cell, KindSpec spec, InetSocketAddress address,
+            WorkerModel model) {
+        this.number = number;
+        this.name = "w" + number;
+        this.id = id;
+        this.zone = zone;
+        this.kind = kind;
+        this.cell = cell;
+        this.model = model;
+        this.address = address;
+        this.mostConnections = (int) Math.max(1, spec.connectionsPerCore * spec.cores);
+        this.handshakeWork = spec.handshakeWork;
+    }
+
+    /** An address that no socket uses: it only tells workers apart. */
+    static InetSocketAddress madeUp(int number) {
+        byte[] bytes = {10, (byte) (number >> 16), (byte) (number >> 8), (byte) number};
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(bytes), 1 + (number >> 24));
+        } catch (UnknownHostException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    /** The truth, as an entry of the worker list. */
+    Member entry(double weight) {
+        Worker worker = new Worker(id, phase, zone, kind, cell, model.startedAt(), weight);
+        return new Member(name, address, worker);
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ferngrade/lab/LabCommand.java
@@ -0,0 +1,20 @@
+package ferngrade.lab;
+
+import ferngrade.cli.SubCommand;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The laboratory's commands. */
+@Command(name = "lab", description = "Runs experiments on an emulated fleet and keeps their results.",
+        mixinStandardHelpOptions = true,
+        subcommands = {RunCommand.class, CompareCommand.class, SearchCommand.class, ReplayCommand.class,
+            ReportCommand.class, CommandLine.HelpCommand.class})
+public final class LabCommand implements SubCommand, Runnable {
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is missing");
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ferngrade/lab/ReportCommand.java
@@ -0,0 +1,29 @@
+package ferngrade.lab;
+
+import ferngrade.cli.Cli;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Writes the report of kept results anew. */
+@Command(name = "report", description = "Writes tables, charts and report.html of kept results anew.",
+        mixinStandardHelpOptions = true)
+final class ReportCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "DIR", description = "A folder with results.json.")
+    private Path folder;
+
+    @Override
+    public Integer call() {
+        try {
+            Results results = Results.read(folder);
+            results.write(folder);
+            Report.write(results, folder);
+            System.out.println(folder.resolve("report.html"));
+            return 0;
+        } catch (ExperimentException bad) {
+            System.err.println("ferngrade: " + bad.getMessage());
+            return Cli.BAD_CONFIG;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ferngrade/lab/RunCommand.java
@@ -0,0 +1,81 @@
+package ferngrade.lab;
+
+import ferngrade.cli.Cli;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Runs an experiment. */
+@Command(name = "run", description = "Runs an experiment; writes results.json, tables, charts and report.html.",
+        mixinStandardHelpOptions = true)
+final class RunCommand implements Callable<Integer> {
+    /** The exit code where a rule was broken by a policy that is to keep it. */
+    static final int RULE_BROKEN = 3;
+    /** The exit code of a run that was interrupted: what had ended is kept. */
+    static final int INTERRUPTED = 130;
+
+    @Parameters(paramLabel = "EXPERIMENT", description = "The experiment, a TOML file.")
+    private Path file;
+
+    @Option(names = "--out", required = true, paramLabel = "DIR", description = "Where the results go.")
+    private Path out;
+
+    @Option(names = "--threads", paramLabel = "N", description = "Runs at a time; the cores if left out.")
+    private int threads = Runtime.getRuntime().availableProcessors();
+
+    @Override
+    public Integer call() throws InterruptedException {
+        Experiment experiment;
+        try {
+            experiment = ExperimentReader.read(file);
+        } catch (ExperimentException bad) {
+            System.err.println("ferngrade: " + bad.getMessage());
+            return Cli.BAD_CONFIG;
+        }
+        Laboratory laboratory = new Laboratory(Math.max(1, threads));
+        // Ctrl-C: what has ended is written before the process goes.
+        CountDownLatch written = new CountDownLatch(1);
+        Thread hook = new Thread(() -> {
+            laboratory.stop();
+            try {
+                written.await();
+            } catch (InterruptedException impatient) {
+                Thread.currentThread().interrupt();
+            }
+        }, "interrupted");
+        Runtime.getRuntime().addShutdownHook(hook);
+        try {
+            List<Trial.Result> trials;
+            try (Progress progress = new Progress(experiment.name(), experiment.trials(), System.console() != null,
+                    System.out)) {
+                trials = laboratory.run(experiment, each -> progress.step());
+            }
+            Results results = Results.of(experiment, trials);
+            results.write(out);
+            Report.write(results, out);
+            summary(results);
+            if (!results.complete()) {
+                return INTERRUPTED;
+            }
+            boolean broken = results.trials().stream()
+                    .anyMatch(each -> each.policy().equals("module") && each.allBreaches() > 0);
+            return broken ? RULE_BROKEN : 0;
+        } finally {
+            written.countDown();
+        }
+    }
+
+    static void summary(Results results) {
+        for (Results.Cell cell : results.cells()) {
+            long breaches = results.of(cell).values().stream().mapToLong(Trial.Result::allBreaches).sum();
+            System.out.printf("%-14s %s goodput %s  p99 %s ms%s%n", cell.policy(), cell.point(),
+                    results.estimate(cell, Trial.Result::goodput),
+                    results.estimate(cell, each -> each.figures().get("p99 ms")),
+                    breaches > 0 ? "  rules broken: " + breaches : "");
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ferngrade/lab/Trial.java
@@ -0,0 +1,63 @@
+package ferngrade.lab;
+
+import ferngrade.emulator.Mutation;
+import ferngrade.emulator.Observer;
+import ferngrade.emulator.Scenario;
+import ferngrade.emulator.TraceHash;
+import ferngrade.emulator.VirtualRun;
+import ferngrade.emulator.judge.Bench;
+import ferngrade.emulator.judge.Judge;
+import ferngrade.emulator.policy.Policies;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One run of an experiment: a scenario, a policy and a seed. */
+public record Trial(String point, String policy, long seed) {
+    /**
+     * What came of it. Latencies are milliseconds; {@code breaches} counts them by rule; {@code trace} is the digest of
+     * all that happened; {@code passedMs} is the time that passed in the run and {@code tookMs} the machine's.
+     */
+    public record Result(String point, String policy, long seed, Map<String, Double> figures,
+            Map<String, Double> byClass, Map<String, Double> byTenant, Map<String, double[]> series,
+            Map<String, Long> breaches, List<String> breachTexts, long fallen, String trace, long events,
+            double passedMs, double tookMs) {
+        /** The breaches of all rules. */
+        public long allBreaches() {
+            return breaches.values().stream().mapToLong(count -> count).sum();
+        }
+
+        /** The share of the worth asked for that was answered in time. */
+        public double goodput() {
+            return figures.get("goodput");
+        }
+    }
+
+    /** Plays the run in virtual time. */
+    public Result play(Scenario scenario, Mutation mutation) {
+        Statistics statistics = new Statistics(scenario, VirtualRun.START);
+        TraceHash trace = new TraceHash();
+        Bench bench = new Bench(scenario);
+        List<Observer> observers = new ArrayList<>(bench.judges());
+        observers.add(statistics);
+        observers.add(trace);
+        long began = System.nanoTime();
+        VirtualRun run = new VirtualRun(scenario, seed, Policies.named(policy), mutation, observers);
+        run.run();
+        bench.finish(VirtualRun.START + run.passed());
+        return result(statistics, bench, trace.hex(), run.events(), run.passed(), (System.nanoTime() - began) / 1e6);
+    }
+
+    Result result(Statistics statistics, Bench bench, String trace, long events, double passed, double took) {
+        Map<String, Long> breaches = new LinkedHashMap<>();
+        List<String> texts = new ArrayList<>();
+        for (Judge judge : bench.judges()) {
+            breaches.put(judge.rule(), judge.count());
+            judge.breaches().forEach(each -> texts.add(String.format("%s at %.1f ms: %s", each.rule(),
+                    each.at() - VirtualRun.START, each.what())));
+        }
+        return new Result(point, policy, seed, statistics.figures(), statistics.byClass(), statistics.byTenant(),
+                statistics.series(), breaches, texts, bench.fallen(), trace, events, passed, took);
+    }
+}
