--- a/emulator/src/main/java/ferngrade/emulator/Clients.java
+++ b/emulator/src/main/java/ferngrade/emulator/Clients.java
@@ -4,8 +4,7 @@
 import ferngrade.Dispatcher.Scope;
 import ferngrade.emulator.Request.Answer;
 import java.util.Arrays;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -29,11 +28,13 @@
     private final double start;
     private final double rate;
     private final double[] classShares;
+    private final List<Draw.Spread> works;
+    private final List<Draw.Spread> hints;
     private final double[] usages;
     private final double[] boosts;
     private final double[] allowances;
     private final double[] spent;
-    private final Map<Request, Scheduler.Handle> waiting = new HashMap<>();
+    private int waiting;
     private final long idBase;
     private double boost = 1;
     private double second = Double.NEGATIVE_INFINITY;
@@ -63,6 +64,8 @@
         this.start = time.now();
         this.rate = scenario.rate();
         this.classShares = spec.classes.stream().mapToDouble(each -> each.share).toArray();
+        this.works = spec.classes.stream().map(each -> Draw.Spread.of(each.workSpread)).toList();
+        this.hints = spec.classes.stream().map(each -> Draw.Spread.of(each.hintNoise)).toList();
         this.usages = spec.tenants.stream().mapToDouble(each -> each.usage).toArray();
         this.boosts = new double[usages.length];
         Arrays.fill(boosts, 1);
@@ -94,7 +97,7 @@
 
     /** Tries whose client still waits. */
     int open() {
-        return waiting.size();
+        return waiting;
     }
 
     // ---- Arrivals ----
@@ -142,7 +145,7 @@
     private void arrive() {
         int jobClass = pick(classShares, null);
         ClassSpec each = spec.classes.get(jobClass);
-        create(jobClass, usages.length == 0 ? 0 : pick(usages, boosts), each.work * Draw.around(jobs, each.workSpread));
+        create(jobClass, usages.length == 0 ? 0 : pick(usages, boosts), each.work * works.get(jobClass).draw(jobs));
     }
 
     private void follow() {
@@ -183,7 +186,7 @@
         double worth = each.worth * work * (within ? 1 : spec.overShareWorth);
         String key = each.effect == Effect.KEYED ? "k" + Long.toHexString(idBase << 32 | numbers) : null;
         Request request = new Request(id(), jobClass, tenant, jobs.nextInt(scenario.zones.size()), work,
-                work * Draw.around(jobs, each.hintNoise), key, now, now + each.deadline, worth, null);
+                work * hints.get(jobClass).draw(jobs), key, now, now + each.deadline, worth, null);
         submit(request);
     }
 
@@ -196,12 +199,13 @@
         observer.due(now, request);
         boolean leaves = habits.nextDouble() < spec.impatient;
         double wait = leaves ? habits.nextDouble() * (request.deadline - now) : request.deadline + ANSWER_SLACK - now;
-        waiting.put(request, time.after(wait, () -> leave(request, leaves)));
+        request.patience = time.after(wait, () -> leave(request, leaves));
+        waiting++;
         carrier.submit(request);
     }
 
     private void leave(Request request, boolean early) {
-        waiting.remove(request);
+        waiting--;
         request.over = true;
         observer.ended(time.now(), request, Answer.LEFT);
         carrier.leave(request);
@@ -215,12 +219,12 @@
     /** An answer has reached its client; {@code retryAfter} ms is the wait that it asks for, 0 for none. */
     public void answer(Request request, Answer answer, double retryAfter) {
         double now = time.now();
-        Scheduler.Handle patience = waiting.remove(request);
-        if (patience == null) {
+        if (request.over) {
             observer.stray(now, request, answer);
             return;
         }
-        patience.cancel();
+        waiting--;
+        request.patience.cancel();
         request.over = true;
         observer.ended(now, request, answer);
         boolean harmless = answer == Answer.REFUSED || answer == Answer.UNREACHED;
@@ -247,7 +251,6 @@
             return;
         }
         time.after(wait, () -> {
-            last.overtaken = true;
             submit(new Request(id(), last.jobClass, last.tenant, last.zone, last.work, last.hint, last.key,
                     time.now(), last.first.deadline, last.worth, last.first));
         });
--- a/emulator/src/main/java/ferngrade/emulator/Draw.java
+++ b/emulator/src/main/java/ferngrade/emulator/Draw.java
@@ -12,18 +12,21 @@
         return mean * ZigguratSampler.Exponential.of(chance).sample();
     }
 
-    /** A factor with the mean 1 and this coefficient of variation, lognormal. */
-    static double around(UniformRandomProvider chance, double spread) {
-        if (spread <= 0) {
-            return 1;
-        }
-        double variance = Math.log1p(spread * spread);
-        double normal = ZigguratSampler.NormalizedGaussian.of(chance).sample();
-        return Math.exp(Math.sqrt(variance) * normal - variance / 2);
-    }
-
     /** A number between the two. */
     static double between(UniformRandomProvider chance, double least, double most) {
         return least + chance.nextDouble() * (most - least);
     }
+
+    /** Factors with the mean 1, lognormal: {@code sigma} is the deviation of their logarithm. */
+    record Spread(double sigma) {
+        /** Factors with this coefficient of variation. */
+        static Spread of(double variation) {
+            return new Spread(Math.sqrt(Math.log1p(variation * variation)));
+        }
+
+        double draw(UniformRandomProvider chance) {
+            return sigma == 0 ? 1
+                    : Math.exp(sigma * ZigguratSampler.NormalizedGaussian.of(chance).sample() - sigma * sigma / 2);
+        }
+    }
 }
--- a/emulator/src/main/java/ferngrade/emulator/Fleet.java
+++ b/emulator/src/main/java/ferngrade/emulator/Fleet.java
@@ -18,7 +18,8 @@
     private final Streams streams;
     private final Observer observer;
     private final IntFunction<InetSocketAddress> addresses;
-    private final UniformRandomProvider attemptNoise;
+    private final UniformRandomProvider chance;
+    private final List<Draw.Spread> noise;
     private final KeyWindows windows;
     private final List<EmulatedWorker> all = new ArrayList<>();
     private final Map<InetSocketAddress, EmulatedWorker> byAddress = new HashMap<>();
@@ -32,7 +33,8 @@
         this.streams = streams;
         this.observer = observer;
         this.addresses = addresses;
-        this.attemptNoise = streams.stream("attempts");
+        this.chance = streams.stream("attempts");
+        this.noise = scenario.workload.classes.stream().map(each -> Draw.Spread.of(each.attemptNoise)).toList();
         this.windows = new KeyWindows(time);
         for (int i = 0; i < scenario.workers; i++) {
             add(scenario.kindOf(i), i % scenario.zones.size(), 0);
@@ -63,7 +65,7 @@
         if (worker.model.cold()) {
             observer.reached(time.now(), worker, request, informed);
         }
-        double work = request.work * Draw.around(attemptNoise, spec.attemptNoise);
+        double work = request.work * noise.get(request.jobClass).draw(chance);
         WorkerModel.Work asked = new WorkerModel.Work(request.id, work, spec.slots, spec.priority);
         if (spec.effect != Effect.KEYED || request.key == null) {
             return worker.model.offer(asked, informed, ear);
--- a/emulator/src/main/java/ferngrade/emulator/Request.java
+++ b/emulator/src/main/java/ferngrade/emulator/Request.java
@@ -39,8 +39,8 @@
     /** The node that it goes to; -1 before the front has picked one. */
     int node = -1;
     boolean over;
-    /** Its retry is out already; an answer that still comes is a stray. */
-    boolean overtaken;
+    /** Ends the wait of its client. */
+    Scheduler.Handle patience;
 
     Request(String id, int jobClass, int tenant, int zone, double work, double hint, String key, double due,
             double deadline, double worth, Request first) {
--- a/emulator/src/main/java/ferngrade/emulator/VirtualTime.java
+++ b/emulator/src/main/java/ferngrade/emulator/VirtualTime.java
@@ -1,22 +1,30 @@
 package ferngrade.emulator;
 
-import java.util.Comparator;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.PriorityQueue;
 
 /**
  * Time that passes only by what happens in it: a queue of events, the earliest first. Events at the same instant run
  * in the order in which they were put off, so that a run depends on nothing but its inputs.
+ *
+ * <p>Most events are far off and are called off before their time: deadlines. They lie unsorted in buckets, and only
+ * those of the bucket whose time has come are sorted, a calendar queue in its plainest form (Brown, 1988).
  */
 public final class VirtualTime implements Scheduler {
-    private static final Comparator<Event> ORDER =
-            Comparator.<Event>comparingDouble(event -> event.at).thenComparingLong(event -> event.order);
+    private static final double BUCKET = 16;
+    private static final int BUCKETS = 2048;
 
-    private final PriorityQueue<Event> queue = new PriorityQueue<>(1024, ORDER);
+    private final PriorityQueue<Event> near = new PriorityQueue<>(256);
+    private final List<List<Event>> far = new ArrayList<>(BUCKETS);
+    private int inFar;
+    /** The first bucket, counted from time 0, that has not been moved to the near ones. */
+    private long edge;
     private double now;
     private long order;
     private long ran;
 
-    private static final class Event implements Handle {
+    private static final class Event implements Handle, Comparable<Event> {
         final double at;
         final long order;
         Runnable task;
@@ -27,9 +35,14 @@
             this.task = task;
         }
 
+        @Override
+        public int compareTo(Event other) {
+            return at < other.at ? -1 : at > other.at ? 1 : Long.compare(order, other.order);
+        }
+
         @Override
         public void cancel() {
-            // It stays in the queue until its time; removing it from the middle would cost more than the place.
+            // It stays where it lies until its time; taking it out of the middle would cost more than the place.
             task = null;
         }
     }
@@ -37,6 +50,10 @@
     /** Time that begins at {@code start} ms. */
     public VirtualTime(double start) {
         this.now = start;
+        this.edge = (long) Math.floor(start / BUCKET) + 1;
+        for (int i = 0; i < BUCKETS; i++) {
+            far.add(new ArrayList<>());
+        }
     }
 
     @Override
@@ -50,14 +67,26 @@
             throw new IllegalArgumentException("a delay that is not a number");
         }
         Event event = new Event(now + Math.max(0, millis), order++, task);
-        queue.add(event);
+        long bucket = (long) Math.floor(event.at / BUCKET);
+        if (bucket < edge || bucket >= edge + BUCKETS) {
+            near.add(event);
+        } else {
+            far.get((int) (bucket % BUCKETS)).add(event);
+            inFar++;
+        }
         return event;
     }
 
     /** Runs everything up to and including {@code until}, which is the time when this returns. */
     public void run(double until) {
-        while (!queue.isEmpty() && queue.peek().at <= until) {
-            Event event = queue.poll();
+        while (true) {
+            while (inFar > 0 && (near.isEmpty() || near.peek().at >= edge * BUCKET)) {
+                bringNear();
+            }
+            if (near.isEmpty() || near.peek().at > until) {
+                break;
+            }
+            Event event = near.poll();
             now = event.at;
             if (event.task != null) {
                 Runnable task = event.task;
@@ -69,6 +98,17 @@
         now = Math.max(now, until);
     }
 
+    private void bringNear() {
+        List<Event> bucket = far.get((int) (edge++ % BUCKETS));
+        inFar -= bucket.size();
+        for (Event event : bucket) {
+            if (event.task != null) {
+                near.add(event);
+            }
+        }
+        bucket.clear();
+    }
+
     /** The events that have run so far. */
     public long ran() {
         return ran;
--- a/emulator/src/main/java/ferngrade/emulator/WorkerModel.java
+++ b/emulator/src/main/java/ferngrade/emulator/WorkerModel.java
@@ -104,7 +104,7 @@
         this.fallMultiple = fallMultiple;
         this.tipMs = tipMs;
         this.whenFallen = whenFallen;
-        this.speed = kind.speed * Draw.around(chance, kind.speedSpread);
+        this.speed = kind.speed * Draw.Spread.of(kind.speedSpread).draw(chance);
         this.settledAt = time.now();
         if (kind.pauseMs > 0) {
             pausing = time.after(Draw.exponential(chance, kind.pauseEvery), this::pause);
--- a/lab/src/main/java/ferngrade/lab/Charts.java
+++ b/lab/src/main/java/ferngrade/lab/Charts.java
@@ -107,12 +107,12 @@
             }
         }
         String of = point.isEmpty() ? "" : " (" + point + ")";
-        lines("goodput-over-time" + suffix, "Goodput by second of arrival" + of, "share of the worth", byPolicy, "goodput");
-        lines("p50-over-time" + suffix, "Median latency by second of arrival" + of, "ms", byPolicy, "p50 ms");
-        lines("p99-over-time" + suffix, "99th percentile of latency by second of arrival" + of, "ms", byPolicy,
+        lines("goodput-over-time" + suffix, "Goodput by time of arrival" + of, "share of the worth", byPolicy, "goodput");
+        lines("p50-over-time" + suffix, "Median latency by time of arrival" + of, "ms", byPolicy, "p50 ms");
+        lines("p99-over-time" + suffix, "99th percentile of latency by time of arrival" + of, "ms", byPolicy,
                 "p99 ms");
-        lines("refused-over-time" + suffix, "Refused a second" + of, "answers", byPolicy, "refused");
-        lines("retries-over-time" + suffix, "Retries a second" + of, "tries", byPolicy, "retries");
+        lines("refused-over-time" + suffix, "Refused, in each window" + of, "answers", byPolicy, "refused");
+        lines("retries-over-time" + suffix, "Retries, in each window" + of, "tries", byPolicy, "retries");
         lines("depth-over-time" + suffix, "Jobs waiting at a worker" + of, "jobs", byPolicy, "queue depth");
         Map<String, double[]> first = byPolicy.values().iterator().next();
         Map<String, double[]> slices = new LinkedHashMap<>();
@@ -131,18 +131,19 @@
     }
 
     private void draw(String file, String title, String unit, Map<String, double[]> lines) {
-        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle("second")
+        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle("s")
                 .yAxisTitle(unit).build();
         style(chart.getStyler());
         chart.getStyler().setYAxisMin(0.0);
         boolean any = false;
+        double window = results.trials().get(0).windowMs() / 1000;
         for (Map.Entry<String, double[]> line : lines.entrySet()) {
-            List<Integer> at = new ArrayList<>();
+            List<Double> at = new ArrayList<>();
             List<Double> values = new ArrayList<>();
             double[] all = line.getValue();
             for (int i = 0; all != null && i < all.length; i++) {
                 if (!Double.isNaN(all[i])) {
-                    at.add(i);
+                    at.add(i * window);
                     values.add(all[i]);
                 }
             }
--- a/lab/src/main/java/ferngrade/lab/Results.java
+++ b/lab/src/main/java/ferngrade/lab/Results.java
@@ -133,7 +133,7 @@
     }
 
     private String seriesTable() {
-        StringBuilder table = new StringBuilder("parameters,policy,series,second,mean\n");
+        StringBuilder table = new StringBuilder("parameters,policy,series,window,mean\n");
         for (Cell cell : cells()) {
             meanSeries(cell).forEach((name, values) -> {
                 for (int i = 0; i < values.length; i++) {
--- a/lab/src/main/java/ferngrade/lab/Statistics.java
+++ b/lab/src/main/java/ferngrade/lab/Statistics.java
@@ -19,13 +19,15 @@
  * tries; a retry's answer counts for its first try, and a latency counts from the time at which the first try was due.
  */
 public final class Statistics implements Observer {
-    /** The width of a window of the series, ms. */
-    public static final double WINDOW = 1000;
+    /** The least width of a window of the series, ms, and the most windows that a run is cut into. */
+    private static final double LEAST_WINDOW = 1000;
+    private static final int MOST_WINDOWS = 600;
     /** Latencies are kept in microseconds, to three digits, up to two minutes. */
     private static final long MOST_LATENCY = 120_000_000L;
 
     private final Scenario scenario;
     private final double start;
+    private final double window;
     private final Histogram latency = new Histogram(MOST_LATENCY, 3);
     private final List<Window> windows = new ArrayList<>();
     private final double[] classAsked;
@@ -58,6 +60,7 @@
     public Statistics(Scenario scenario, double start) {
         this.scenario = scenario;
         this.start = start;
+        this.window = LEAST_WINDOW * Math.max(1, Math.ceil(scenario.duration / LEAST_WINDOW / MOST_WINDOWS));
         this.classAsked = new double[scenario.workload.classes.size()];
         this.classServed = new double[classAsked.length];
         this.tenantAsked = new double[Math.max(1, scenario.workload.tenants.size())];
@@ -65,7 +68,7 @@
     }
 
     private Window window(double at) {
-        int index = (int) Math.max(0, Math.min((at - start) / WINDOW, scenario.duration / WINDOW + 40));
+        int index = (int) Math.max(0, Math.min((at - start) / window, scenario.duration / window + 40));
         while (windows.size() <= index) {
             windows.add(new Window());
         }
@@ -147,6 +150,11 @@
 
     // ---- What came of it ----
 
+    /** The width of a window of the series, ms. */
+    public double window() {
+        return window;
+    }
+
     /** The share of the worth asked for that was answered in time. */
     public double goodput() {
         double asked = Arrays.stream(classAsked).sum();
--- a/lab/src/main/java/ferngrade/lab/Trial.java
+++ b/lab/src/main/java/ferngrade/lab/Trial.java
@@ -20,7 +20,7 @@
      * all that happened; {@code passedMs} is the time that passed in the run and {@code tookMs} the machine's.
      */
     public record Result(String point, String policy, long seed, Map<String, Double> figures,
-            Map<String, Double> byClass, Map<String, Double> byTenant, Map<String, double[]> series,
+            Map<String, Double> byClass, Map<String, Double> byTenant, Map<String, double[]> series, double windowMs,
             Map<String, Long> breaches, List<String> breachTexts, long fallen, String trace, long events,
             double passedMs, double tookMs) {
         /** The breaches of all rules. */
@@ -58,6 +58,6 @@
                     each.at() - VirtualRun.START, each.what())));
         }
         return new Result(point, policy, seed, statistics.figures(), statistics.byClass(), statistics.byTenant(),
-                statistics.series(), breaches, texts, bench.fallen(), trace, events, passed, took);
+                statistics.series(), statistics.window(), breaches, texts, bench.fallen(), trace, events, passed, took);
     }
 }
