--- a/emulator/src/main/java/ferngrade/emulator/Clients.java
+++ b/emulator/src/main/java/ferngrade/emulator/Clients.java
@@ -52,7 +52,8 @@
         void leave(Request request);
     }
 
-    Clients(Scenario scenario, Scheduler time, Streams streams, Observer observer, Carrier carrier) {
+    /** All clients of a scenario, whose tries {@code carrier} takes to the nodes. */
+    public Clients(Scenario scenario, Scheduler time, Streams streams, Observer observer, Carrier carrier) {
         this.scenario = scenario;
         this.spec = scenario.workload;
         this.time = time;
@@ -77,7 +78,8 @@
         this.idBase = streams.seed("ids") & 0xffffff;
     }
 
-    void begin() {
+    /** Lets the arrivals begin. */
+    public void begin() {
         if (spec.trace.isEmpty()) {
             draw();
         } else {
@@ -96,7 +98,7 @@
     }
 
     /** Tries whose client still waits. */
-    int open() {
+    public int open() {
         return waiting;
     }
 
--- a/emulator/src/main/java/ferngrade/emulator/EmulatedWorker.java
+++ b/emulator/src/main/java/ferngrade/emulator/EmulatedWorker.java
@@ -18,7 +18,7 @@
     public final int cell;
     public final WorkerModel model;
     final int mostConnections;
-    final double handshakeWork;
+    private final double handshakeWork;
     /** Where it is reached: a made-up address in virtual time, where it listens on sockets. */
     public final InetSocketAddress address;
     State phase = State.READY;
@@ -52,6 +52,16 @@
         }
     }
 
+    /** The work that a new connection costs it. */
+    public double handshakeWork() {
+        return handshakeWork;
+    }
+
+    /** True once its machine says nothing any more. */
+    public boolean vanished() {
+        return vanished;
+    }
+
     /** The truth, as an entry of the worker list. */
     Member entry(double weight) {
         Worker worker = new Worker(id, phase, zone, kind, cell, model.startedAt(), weight);
--- a/emulator/src/main/java/ferngrade/emulator/Levers.java
+++ b/emulator/src/main/java/ferngrade/emulator/Levers.java
@@ -1,7 +1,7 @@
 package ferngrade.emulator;
 
 /** What a plan of faults can do to the nodes and the network; each skin does it in its own way. */
-interface Levers {
+public interface Levers {
     /** Kills a node's process. */
     void killNode(int node);
 
--- a/emulator/src/main/java/ferngrade/emulator/Network.java
+++ b/emulator/src/main/java/ferngrade/emulator/Network.java
@@ -11,14 +11,15 @@
     private final UniformRandomProvider chance;
     private final int[][] cuts;
 
-    Network(NetworkSpec spec, int zones, UniformRandomProvider chance) {
+    /** A network between so many zones. */
+    public Network(NetworkSpec spec, int zones, UniformRandomProvider chance) {
         this.spec = spec;
         this.chance = chance;
         this.cuts = new int[zones][zones];
     }
 
     /** Cuts a direction between two zones, once more or once less. */
-    void cut(int from, int to, boolean begins) {
+    public void cut(int from, int to, boolean begins) {
         cuts[from][to] += begins ? 1 : -1;
     }
 
@@ -27,7 +28,7 @@
     }
 
     /** The way of a segment of a stream from zone to zone, ms; {@link #NEVER} where it is cut. */
-    double stream(int from, int to) {
+    public double stream(int from, int to) {
         if (!open(from, to)) {
             return NEVER;
         }
@@ -41,17 +42,18 @@
     }
 
     /** The way between a client and its front's node. */
-    double client() {
+    public double client() {
         return jittered(spec.client);
     }
 
     /** The way of a datagram between nodes; lost ones never arrive, and late ones overtake one another. */
-    double datagram(int from, int to) {
+    public double datagram(int from, int to) {
         boolean lost = !open(from, to) || spec.loss > 0 && chance.nextDouble() < spec.loss;
         return lost ? NEVER : jittered(spec.peer);
     }
 
-    boolean resets() {
+    /** True for an attempt whose connection is to be reset. */
+    public boolean resets() {
         return spec.reset > 0 && chance.nextDouble() < spec.reset;
     }
 
--- a/emulator/src/main/java/ferngrade/emulator/Plan.java
+++ b/emulator/src/main/java/ferngrade/emulator/Plan.java
@@ -6,7 +6,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** Carries out a plan of faults: each begins at its time, ends after its length, and what it set in motion goes on. */
-final class Plan {
+public final class Plan {
     /** How long a worker drains before its process ends, ms. */
     private static final double DRAIN = 5000;
 
@@ -19,7 +19,8 @@
     private final Clients clients;
     private final Levers levers;
 
-    Plan(Scenario scenario, Scheduler time, UniformRandomProvider chance, Observer observer, Fleet fleet, Roll roll,
+    /** The scenario's plan over these parties. */
+    public Plan(Scenario scenario, Scheduler time, UniformRandomProvider chance, Observer observer, Fleet fleet, Roll roll,
             Clients clients, Levers levers) {
         this.scenario = scenario;
         this.time = time;
@@ -31,7 +32,8 @@
         this.levers = levers;
     }
 
-    void begin() {
+    /** Sets all faults up. */
+    public void begin() {
         scenario.faults.forEach(fault -> time.after(fault.at(), () -> {
             observer.fault(time.now(), fault, true);
             Runnable end = start(fault);
--- a/emulator/src/main/java/ferngrade/emulator/Request.java
+++ b/emulator/src/main/java/ferngrade/emulator/Request.java
@@ -63,6 +63,16 @@
 
     private int retries;
 
+    /** Notes the node that the front has picked; -1 for none. */
+    public void sentTo(int picked) {
+        node = picked;
+    }
+
+    /** True once its client waits no longer. */
+    public boolean over() {
+        return over;
+    }
+
     /** The node that it was sent to. */
     public int node() {
         return node;
--- a/emulator/src/main/java/ferngrade/emulator/Roll.java
+++ b/emulator/src/main/java/ferngrade/emulator/Roll.java
@@ -36,7 +36,8 @@
         void tell(News news, List<Member> entries, long revision, double spread);
     }
 
-    Roll(DiscoverySpec spec, Scheduler time, UniformRandomProvider chance, Fleet fleet, Teller teller) {
+    /** Discovery of this fleet, which {@code teller} brings to the nodes. */
+    public Roll(DiscoverySpec spec, Scheduler time, UniformRandomProvider chance, Fleet fleet, Teller teller) {
         this.spec = spec;
         this.time = time;
         this.chance = chance;
--- a/emulator/src/main/java/ferngrade/emulator/VirtualWorkers.java
+++ b/emulator/src/main/java/ferngrade/emulator/VirtualWorkers.java
@@ -95,7 +95,7 @@
         } else {
             worker.connections++;
             transfer.connected = true;
-            worker.model.burden(worker.handshakeWork);
+            worker.model.burden(worker.handshakeWork());
             run.time.after(spec.handshakeTrips * (there + back), node.here(transfer::begin));
         }
     }
--- a/lab/src/main/java/ferngrade/lab/Laboratory.java
+++ b/lab/src/main/java/ferngrade/lab/Laboratory.java
@@ -25,6 +25,10 @@
         stopped.set(true);
     }
 
+    boolean stopped() {
+        return stopped.get();
+    }
+
     /** Plays all trials; {@code finished} hears of each as it ends, on the calling thread. */
     public List<Trial.Result> run(Experiment experiment, Consumer<Trial.Result> finished) throws InterruptedException {
         ExecutorService pool = Executors.newFixedThreadPool(threads, task -> {
--- a/node/src/main/java/ferngrade/net/NodeServer.java
+++ b/node/src/main/java/ferngrade/net/NodeServer.java
@@ -1,6 +1,8 @@
 package ferngrade.net;
 
 import ferngrade.Choice;
+import ferngrade.Dispatcher;
+import ferngrade.Dispatcher.Actions;
 import ferngrade.Dispatcher.News;
 import ferngrade.config.NodeConfig;
 import ferngrade.node.Clock;
@@ -30,6 +32,7 @@
     private final NodeConfig config;
     private final Clock clock;
     private final Log log;
+    private final Decisions decisions;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Timers timers;
@@ -38,7 +41,8 @@
     private Discovery discovery;
     private final CountDownLatch finished = new CountDownLatch(1);
 
-    private NodeServer(NodeConfig config, Clock clock, Log log) {
+    private NodeServer(NodeConfig config, Clock clock, Log log, Decisions decisions) {
+        this.decisions = decisions;
         this.config = config;
         this.clock = clock;
         this.log = log;
@@ -48,9 +52,22 @@
         this.front = new Front(bounds, clock, timers);
     }
 
+    /** Starts the decisions of a node, which ask for what they want done by these actions. */
+    @FunctionalInterface
+    public interface Decisions {
+        /** Starts them. */
+        Dispatcher start(NodeConfig config, double now, Actions actions);
+    }
+
     /** Starts a node, which listens when this returns; an address in use ends in an exception. */
     public static NodeServer start(NodeConfig config, Clock clock, Log log) throws Exception {
-        NodeServer server = new NodeServer(config, clock, log);
+        return start(config, clock, log,
+                (told, now, actions) -> new Choice(told.settings(), told.seed(), now, actions));
+    }
+
+    /** Starts a node round other decisions than the module's, for those that hold the two against each other. */
+    public static NodeServer start(NodeConfig config, Clock clock, Log log, Decisions decisions) throws Exception {
+        NodeServer server = new NodeServer(config, clock, log, decisions);
         try {
             for (ChannelFuture bound : server.loop.submit(server::assemble).get()) {
                 bound.get();
@@ -74,7 +91,7 @@
         WorkerClient workers = new WorkerClient(group, clock, timers, pool, config.connectTimeout(), log);
         UdpPeers peers = new UdpPeers(config.peers(), config.peersAll(), log);
         Node node = new Node(new Node.Surroundings(clock, timers, loop, workers, peers, log), room(),
-                actions -> new Choice(config.settings(), config.seed(), clock.now(), actions));
+                actions -> decisions.start(config, clock.now(), actions));
         if (config.known() != null) {
             node.members(News.STORED, config.known().members());
         }
