--- a/emulator/src/main/java/ferngrade/emulator/Clients.java
+++ b/emulator/src/main/java/ferngrade/emulator/Clients.java
@@ -32,6 +32,8 @@
     private final List<Draw.Spread> hints;
     private final double[] usages;
     private final double[] boosts;
+    private final double[] zones;
+    private final double[] surges;
     private final double[] allowances;
     private final double[] spent;
     private int waiting;
@@ -70,10 +72,10 @@
         this.usages = spec.tenants.stream().mapToDouble(each -> each.usage).toArray();
         this.boosts = new double[usages.length];
         Arrays.fill(boosts, 1);
-        this.allowances = new double[usages.length];
-        for (int i = 0; i < allowances.length; i++) {
-            allowances[i] = scenario.allowance(i);
-        }
+        this.zones = new double[scenario.zones.size()];
+        Arrays.fill(zones, 1);
+        this.surges = zones.clone();
+        this.allowances = scenario.allowances();
         this.spent = new double[usages.length];
         this.idBase = streams.seed("ids") & 0xffffff;
     }
@@ -97,6 +99,11 @@
         boosts[tenant] *= times;
     }
 
+    /** One zone's arrivals times so much. */
+    void surge(int zone, double times) {
+        surges[zone] *= times;
+    }
+
     /** Tries whose client still waits. */
     public int open() {
         return waiting;
@@ -133,7 +140,7 @@
             case WAVE -> 1 + spec.swing * Math.sin(2 * Math.PI * passed / spec.period);
             case BURSTY -> bursty(passed);
         };
-        return rate * boost * shape * (usage == 0 ? 1 : tenants / usage);
+        return rate * boost * shape * (usage == 0 ? 1 : tenants / usage) * Arrays.stream(surges).average().orElse(1);
     }
 
     private double bursty(double passed) {
@@ -187,7 +194,7 @@
         boolean within = allowances.length == 0 || ++spent[tenant] <= Math.max(1, allowances[tenant]);
         double worth = each.worth * work * (within ? 1 : spec.overShareWorth);
         String key = each.effect == Effect.KEYED ? "k" + Long.toHexString(idBase << 32 | numbers) : null;
-        Request request = new Request(id(), jobClass, tenant, jobs.nextInt(scenario.zones.size()), work,
+        Request request = new Request(id(), jobClass, tenant, pick(zones, surges), work,
                 work * hints.get(jobClass).draw(jobs), key, now, now + each.deadline, worth, null);
         submit(request);
     }
--- a/emulator/src/main/java/ferngrade/emulator/Fault.java
+++ b/emulator/src/main/java/ferngrade/emulator/Fault.java
@@ -11,6 +11,8 @@
         BURST,
         /** The arrivals of one tenant times {@code size}. */
         TENANT_FLOOD,
+        /** The arrivals of one zone times {@code size}. */
+        ZONE_SURGE,
         /** A rolling deploy of the share {@code part} of the fleet, {@code size} of the fleet at a time. */
         DEPLOY,
         /** The fleet and the arrivals shrink by {@code size}, and stay so. */
--- a/emulator/src/main/java/ferngrade/emulator/Plan.java
+++ b/emulator/src/main/java/ferngrade/emulator/Plan.java
@@ -56,6 +56,11 @@
                 clients.boost(tenant, fault.size());
                 yield () -> clients.boost(tenant, 1 / fault.size());
             }
+            case ZONE_SURGE -> {
+                int zone = target(fault, scenario.zones.size());
+                clients.surge(zone, fault.size());
+                yield () -> clients.surge(zone, 1 / fault.size());
+            }
             case DEPLOY -> deploy(fault);
             case SHRINK -> shrink(fault);
             case ZONE_CUT -> cut(fault);
--- a/emulator/src/main/java/ferngrade/emulator/Scenario.java
+++ b/emulator/src/main/java/ferngrade/emulator/Scenario.java
@@ -93,7 +93,10 @@
 
     /** The kind of the worker with this number: kinds are dealt out evenly, by their shares. */
     public int kindOf(int number) {
-        double shares = kinds.stream().mapToDouble(kind -> kind.share).sum();
+        double shares = 0;
+        for (KindSpec kind : kinds) {
+            shares += kind.share;
+        }
         // The golden ratio's multiples spread the kinds evenly over any range of numbers.
         double at = (number + 0.5) * 0.6180339887498949 % 1 * shares;
         int kind = 0;
@@ -119,11 +122,11 @@
         return workload.rate > 0 ? workload.rate : 1000 * workload.load * capacity() / workload.meanWork();
     }
 
-    /** Requests a second inside a tenant's share. */
-    public double allowance(int tenant) {
+    /** Requests a second inside each tenant's share. */
+    public double[] allowances() {
         double shares = workload.tenants.stream().mapToDouble(each -> each.share).sum();
         double jobs = 1000 * workload.quota * capacity() / workload.meanWork();
-        return jobs * workload.tenants.get(tenant).share / shares;
+        return workload.tenants.stream().mapToDouble(each -> jobs * each.share / shares).toArray();
     }
 
     /** The zone of the node with this number. */
@@ -133,10 +136,15 @@
 
     /** What the node with this number is told of the deployment. */
     public Settings settings(int node) {
+        return settings(node, allowances());
+    }
+
+    /** The same for those who ask for many nodes: the allowances go through the whole fleet. */
+    Settings settings(int node, double[] allowances) {
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < workload.tenants.size(); i++) {
             TenantSpec each = workload.tenants.get(i);
-            tenants.add(new Tenant(each.name, each.share, allowance(i)));
+            tenants.add(new Tenant(each.name, each.share, allowances[i]));
         }
         return new Settings(node, nodes, zoneOfNode(node), roundMs,
                 workload.classes.stream().map(ClassSpec::jobClass).toList(), tenants,
--- a/emulator/src/main/java/ferngrade/emulator/VirtualNode.java
+++ b/emulator/src/main/java/ferngrade/emulator/VirtualNode.java
@@ -76,7 +76,7 @@
     private Dispatcher module(Dispatcher.Actions actions, long seed) {
         MutantModule[] mutant = new MutantModule[1];
         Dispatcher.Actions asked = run.mutation == Mutation.NONE ? actions : MutantModule.counting(actions, mutant);
-        module = run.policy.start(run.scenario.settings(number), seed, run.time.now(), asked, run.truth(this));
+        module = run.policy.start(run.scenario.settings(number, run.allowances), seed, run.time.now(), asked, run.truth(this));
         if (run.mutation == Mutation.NONE) {
             return module;
         }
--- a/emulator/src/main/java/ferngrade/emulator/VirtualRun.java
+++ b/emulator/src/main/java/ferngrade/emulator/VirtualRun.java
@@ -5,7 +5,9 @@
 import ferngrade.emulator.Request.Answer;
 import ferngrade.node.Member;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -26,13 +28,16 @@
     final Observer observer;
     final VirtualTime time = new VirtualTime(START);
     final Network network;
+    final double[] allowances;
     final Fleet fleet;
     final Clients clients;
     private final Roll roll;
     private final Plan plan;
     private final UniformRandomProvider front;
     private final List<VirtualNode> nodes = new ArrayList<>();
-    private final double[] believedDownUntil;
+    private final List<List<VirtualNode>> byZone = new ArrayList<>();
+    /** The nodes that the front holds for dead. */
+    private final Set<VirtualNode> believedDown = new HashSet<>();
 
     /** A run that these observers see. */
     public VirtualRun(Scenario scenario, long seed, Policy policy, Mutation mutation,
@@ -43,14 +48,19 @@
         this.mutation = mutation;
         this.observer = new Observers(observers);
         this.network = new Network(scenario.network, scenario.zones.size(), streams.stream("network"));
+        this.allowances = scenario.allowances();
         this.fleet = new Fleet(scenario, time, streams, observer, EmulatedWorker::madeUp);
         this.clients = new Clients(scenario, time, streams, observer, this);
         this.roll = new Roll(scenario.discovery, time, streams.stream("discovery"), fleet, this::spread);
         this.plan = new Plan(scenario, time, streams.stream("faults"), observer, fleet, roll, clients, this);
         this.front = streams.stream("front");
-        this.believedDownUntil = new double[scenario.nodes];
         for (int i = 0; i < scenario.nodes; i++) {
-            nodes.add(new VirtualNode(this, i));
+            VirtualNode node = new VirtualNode(this, i);
+            nodes.add(node);
+            while (byZone.size() <= node.zone) {
+                byZone.add(new ArrayList<>());
+            }
+            byZone.get(node.zone).add(node);
         }
     }
 
@@ -136,15 +146,11 @@
 
     /** The front deals requests out among the nodes of their zone that it holds for alive, else among all. */
     private VirtualNode pick(Request request) {
-        double now = time.now();
-        List<VirtualNode> near = new ArrayList<>();
-        List<VirtualNode> far = new ArrayList<>();
-        for (VirtualNode node : nodes) {
-            if (now >= believedDownUntil[node.number]) {
-                (node.zone == request.zone ? near : far).add(node);
-            }
+        List<VirtualNode> from = request.zone < byZone.size() ? byZone.get(request.zone) : nodes;
+        if (!believedDown.isEmpty()) {
+            List<VirtualNode> near = from.stream().filter(node -> !believedDown.contains(node)).toList();
+            from = !near.isEmpty() ? near : nodes.stream().filter(node -> !believedDown.contains(node)).toList();
         }
-        List<VirtualNode> from = near.isEmpty() ? far : near;
         return from.isEmpty() ? null : from.get(front.nextInt(from.size()));
     }
 
@@ -189,14 +195,13 @@
 
     @Override
     public void killNode(int node) {
-        nodes.get(node).kill();
-        double until = time.now();
+        VirtualNode killed = nodes.get(node);
+        killed.kill();
         time.after(scenario.frontNotice, () -> {
-            if (!nodes.get(node).up()) {
-                believedDownUntil[node] = Double.POSITIVE_INFINITY;
+            if (!killed.up()) {
+                believedDown.add(killed);
             }
         });
-        believedDownUntil[node] = until;
     }
 
     @Override
@@ -207,7 +212,7 @@
             if (!roll.silent()) {
                 started.hear(News.WHOLE, roll.list());
             }
-            believedDownUntil[node] = time.now();
+            believedDown.remove(started);
         }
     }
 
--- a/emulator/src/main/java/ferngrade/emulator/socket/NodeFile.java
+++ b/emulator/src/main/java/ferngrade/emulator/socket/NodeFile.java
@@ -51,10 +51,11 @@
             stretches.add(each.stretch);
         }
         JsonArray tenants = new JsonArray();
+        double[] allowances = scenario.allowances();
         for (int i = 0; i < scenario.workload.tenants.size(); i++) {
             TenantSpec each = scenario.workload.tenants.get(i);
             tenants.add(new JsonObject().add("Name", each.name).add("Share", each.share)
-                    .add("AllowancePerS", scenario.allowance(i)));
+                    .add("AllowancePerS", allowances[i]));
         }
         return new JsonObject().add("Me", node).add("Balancers", scenario.nodes)
                 .add("Locality", scenario.zoneOfNode(node)).add("Round", scenario.roundMs)
--- a/lab/src/main/java/ferngrade/lab/LabCommand.java
+++ b/lab/src/main/java/ferngrade/lab/LabCommand.java
@@ -8,7 +8,7 @@
 @Command(name = "lab", description = "Runs experiments on an emulated fleet and keeps their results.",
         mixinStandardHelpOptions = true,
         subcommands = {RunCommand.class, CompareCommand.class, SearchCommand.class, ReplayCommand.class,
-            LoadCommand.class, NodeCommand.class,
+            GraphCommand.class, LoadCommand.class, NodeCommand.class,
             ReportCommand.class, CommandLine.HelpCommand.class})
 public final class LabCommand implements SubCommand, Runnable {
     @CommandLine.Spec
--- a/lab/src/main/java/ferngrade/lab/Search.java
+++ b/lab/src/main/java/ferngrade/lab/Search.java
@@ -76,7 +76,7 @@
                     JsonNode original = experiment.source().get("sweep");
                     point.parameters().forEach((key, value) -> {
                         for (JsonNode each : original.get(key)) {
-                            if (each.asText().equals(value)) {
+                            if (ExperimentReader.words(each).equals(value)) {
                                 sweep.putArray(key).add(each);
                             }
                         }
--- a/lab/src/main/java/ferngrade/lab/Section.java
+++ b/lab/src/main/java/ferngrade/lab/Section.java
@@ -53,6 +53,11 @@
         return get(key) != null;
     }
 
+    boolean numeric(String key) {
+        JsonNode value = get(key);
+        return value != null && value.isNumber();
+    }
+
     String text(String key, String absent) throws ExperimentException {
         JsonNode value = get(key);
         if (value == null) {
