--- a/emulator/src/main/java/ferngrade/emulator/KindSpec.java
+++ b/emulator/src/main/java/ferngrade/emulator/KindSpec.java
@@ -44,6 +44,11 @@
     /** The work that a new connection costs. */
     @Quantity(Quantity.Measure.TIME)
     public double handshakeWork = 2;
+    /** How often its load report is made anew, and how far each figure strays, as a share of it. */
+    @Quantity(Quantity.Measure.TIME)
+    public double reportPeriod = 50;
+    @Quantity(Quantity.Measure.SHARE)
+    public double reportNoise = 0.05;
     /** Time between progress reports; none if 0. */
     @Quantity(Quantity.Measure.TIME)
     public double progressMs = 1000;
--- a/emulator/src/main/java/ferngrade/emulator/VirtualWorkers.java
+++ b/emulator/src/main/java/ferngrade/emulator/VirtualWorkers.java
@@ -120,7 +120,7 @@
                 listener.accept(Outcome.CONNECT_FAILED, Report.NONE);
             } else {
                 worker.model.burden(1);
-                listener.accept(Outcome.OK, new Report(worker.model.freeSlots(), Double.NaN, worker.model.waiting()));
+                listener.accept(Outcome.OK, worker.model.report());
             }
         }));
     }
--- a/emulator/src/main/java/ferngrade/emulator/WorkerModel.java
+++ b/emulator/src/main/java/ferngrade/emulator/WorkerModel.java
@@ -1,5 +1,6 @@
 package ferngrade.emulator;
 
+import ferngrade.Dispatcher.Report;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -41,6 +42,8 @@
     private boolean up = true;
     private Scheduler.Handle next;
     private Scheduler.Handle pausing;
+    private double reportedAt = Double.NEGATIVE_INFINITY;
+    private Report report = Report.NONE;
 
     /** Hears what becomes of one job; the last call is the job's end. */
     public interface Ear {
@@ -244,6 +247,20 @@
         return kind.slots() - slotsTaken;
     }
 
+    /** Its load report, which is as old as its period lets it be, and noisy. */
+    public Report report() {
+        double now = time.now();
+        if (now - reportedAt >= kind.reportPeriod) {
+            reportedAt = now;
+            report = new Report(noisy(freeSlots()), Double.NaN, noisy(waiting.size()));
+        }
+        return report;
+    }
+
+    private double noisy(double figure) {
+        return figure * (1 + kind.reportNoise * (2 * chance.nextDouble() - 1));
+    }
+
     public boolean cold() {
         return startedAt > 0 && time.now() - startedAt < kind.coldMs;
     }
--- a/emulator/src/main/java/ferngrade/emulator/socket/WorkerSocket.java
+++ b/emulator/src/main/java/ferngrade/emulator/socket/WorkerSocket.java
@@ -2,6 +2,7 @@
 
 import com.eclipsesource.json.JsonObject;
 import ferngrade.Dispatcher.Outcome;
+import ferngrade.Dispatcher.Report;
 import ferngrade.emulator.EmulatedWorker;
 import ferngrade.emulator.Network;
 import ferngrade.emulator.Request;
@@ -48,9 +49,9 @@
             run.givenUp(path.substring("/jobs/".length()), worker);
             answer(ctx, HttpResponseStatus.OK, "");
         } else if (path.equals("/-/load") || path.equals("/-/healthy")) {
-            String report = new JsonObject().add("x0", worker.model.freeSlots()).add("queue", worker.model.waiting())
-                    .toString();
-            answer(ctx, HttpResponseStatus.OK, report);
+            Report report = worker.model.report();
+            answer(ctx, HttpResponseStatus.OK,
+                    new JsonObject().add("x0", report.freeSlots()).add("queue", report.queued()).toString());
         } else {
             job(ctx, message);
         }
--- a/emulator/src/test/java/ferngrade/emulator/WorkerModelTest.java
+++ b/emulator/src/test/java/ferngrade/emulator/WorkerModelTest.java
@@ -221,6 +221,19 @@
         assertEquals(List.of("a started", "a 40", "a 53"), heard.subList(0, 3));
     }
 
+    @Test
+    void aLoadReportIsAsOldAsItsPeriodAndNoisy() {
+        WorkerModel worker = worker(kind(), 0);
+        double before = worker.report().queued();
+        for (int i = 0; i < 6; i++) {
+            offer(worker, "j" + i, 1000, 1, 0);
+        }
+        assertEquals(before, worker.report().queued(), "within the period it is the old one");
+        time.run(time.now() + 50);
+        double after = worker.report().queued();
+        assertTrue(after != 4 && Math.abs(after - 4) <= 0.2, "strays by a twentieth at most: " + after);
+    }
+
     @Test
     void aRepeatOfAKeyDoesNoWorkAndEndsAsTheFirstDoes() {
         KeyWindows windows = new KeyWindows(time);
