--- a/durable/src/main/java/ferngrade/durable/Journal.java
+++ b/durable/src/main/java/ferngrade/durable/Journal.java
@@ -11,15 +11,15 @@
 import java.util.zip.CRC32C;
 
 /**
- * The log of a store: entries go in by batches, one sync for each, and come back in their order. Old logs are replaced
- * by a snapshot, which is written in pieces between the batches so that no commit waits for the whole of it.
+ * The log of a store: entries go in by batches, one sync for each, and come back in their order. Logs that are closed
+ * are replaced by a snapshot, which is made from them alone: neither a commit nor the owner of the live state waits.
  *
  * <p>A file begins with a magic word, the version and its number. A batch is its length, a CRC-32C, its number and its
  * entries; numbers grow by one over all files. A batch is begun only when the one before it is synced, so a batch that
  * cannot be read is a torn tail if nothing readable follows it, and is cut; if something does, what was synced has been
  * damaged, and that is an error with file and offset.
  *
- * <p>One thread at a time uses it. After a failed write or sync it refuses everything: what a disk holds then, nobody
+ * <p>One thread at a time commits; {@link #compact} may run on another. After a failed write or sync it refuses everything: what a disk holds then, nobody
  * knows before a recovery.
  */
 public final class Journal implements AutoCloseable {
@@ -32,15 +32,17 @@
     private static final String SNAPSHOT = "snap-";
     private static final String UNFINISHED = ".tmp";
 
+    /** Terms matter to changes alone; reading makes none. */
+    static final Ledger.Terms READING = new Ledger.Terms(1, 0, 0, 1, 0, 0);
+
     private final Disk disk;
     private final long logBytes;
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream(1 << 16);
     private Disk.Appender log;
-    private long logNumber;
+    private volatile long logNumber;
     private long written;
     private long batch;
-    private boolean failed;
-    private Snapshot snapshot;
+    private volatile boolean failed;
     private long batches;
     private long entries;
     private long bytes;
@@ -64,7 +66,7 @@
     public static Journal open(Disk disk, long logBytes, Consumer<Entry> replay, Consumer<Recovery> found)
             throws IOException {
         Reader reader = new Reader(disk, replay);
-        reader.readAll();
+        reader.readAll(Long.MAX_VALUE);
         if (reader.cut > 0 || reader.emptyLast) {
             if (reader.emptyLast) {
                 disk.delete(reader.cutFile);
@@ -85,7 +87,7 @@
     /** Reads a store without changing it, also one that somebody else has open. */
     public static Recovery inspect(Disk disk, Consumer<Entry> replay) throws IOException {
         Reader reader = new Reader(disk, replay);
-        reader.readAll();
+        reader.readAll(Long.MAX_VALUE);
         return new Recovery(reader.entries, reader.batches, reader.bytes, reader.cut, reader.cutFile);
     }
 
@@ -108,7 +110,8 @@
             this.replay = replay;
         }
 
-        void readAll() throws IOException {
+        /** Reads the snapshot and the logs after it whose numbers are below this; the last of all may end torn. */
+        void readAll(long before) throws IOException {
             TreeMap<Long, String> logs = new TreeMap<>();
             TreeMap<Long, String> snapshots = new TreeMap<>();
             for (String name : disk.list()) {
@@ -120,6 +123,8 @@
                     snapshots.put(number(name, SNAPSHOT), name);
                 }
             }
+            boolean all = before == Long.MAX_VALUE;
+            logs.tailMap(before).clear();
             long first = logs.isEmpty() ? 1 : logs.firstKey();
             if (!snapshots.isEmpty()) {
                 first = snapshots.lastKey();
@@ -136,10 +141,10 @@
                 if (number != expected++) {
                     throw new DamagedException(name(LOG, expected - 1), 0, "is missing between others");
                 }
-                read(logs.get(number), number, number == logs.lastKey(), false);
+                read(logs.get(number), number, all && number == logs.lastKey(), false);
                 lastLog = emptyLast ? number - 1 : number;
             }
-            if (!snapshots.isEmpty() && logs.isEmpty()) {
+            if (all && !snapshots.isEmpty() && logs.isEmpty()) {
                 throw new DamagedException(name(LOG, first), 0, "is missing after its snapshot");
             }
         }
@@ -254,13 +259,16 @@
     public void commit(List<Entry> batchEntries) throws IOException {
         usable();
         try {
-            byte[] batchBytes = encode(batchEntries, ++batch);
+            byte[] batchBytes = encode(batchEntries, ++batch, buffer);
             log.append(batchBytes, batchBytes.length);
             log.sync();
             written += batchBytes.length;
             batches++;
             entries += batchEntries.size();
             bytes += batchBytes.length;
+            if (written >= logBytes) {
+                nextLog();
+            }
         } catch (IOException | RuntimeException broken) {
             failed = true;
             throw broken;
@@ -273,7 +281,7 @@
         }
     }
 
-    private byte[] encode(Iterable<Entry> some, long number) {
+    private static byte[] encode(Iterable<Entry> some, long number, ByteArrayOutputStream buffer) {
         buffer.reset();
         buffer.write(new byte[BATCH_HEADER], 0, BATCH_HEADER);
         ByteArrayOutputStream one = new ByteArrayOutputStream(256);
@@ -294,97 +302,77 @@
         if (log != null) {
             log.close();
         }
-        log = begin(name(LOG, ++logNumber), logNumber);
+        long next = logNumber + 1;
+        log = begin(disk, name(LOG, next), next);
         log.sync();
         disk.syncNames();
+        // Only now is the one before it closed for good.
+        logNumber = next;
         written = 0;
     }
 
-    private Disk.Appender begin(String name, long number) throws IOException {
+    private static Disk.Appender begin(Disk disk, String name, long number) throws IOException {
         Disk.Appender file = disk.create(name);
         file.append(ByteBuffer.allocate(HEADER).putLong(MAGIC).putLong(number).array(), HEADER);
         return file;
     }
 
-    /** True once the log has grown so far that a snapshot should take its place. */
-    public boolean wantsSnapshot() {
-        return snapshot == null && !failed && written >= logBytes;
+    /** The number of the log that is written at present: those below it are closed. */
+    public long logNumber() {
+        return logNumber;
     }
 
     /**
-     * Begins a snapshot of the state after the last commit, as these entries give it, and a new log for what follows.
-     * {@link #writePiece} writes it.
+     * Puts one snapshot in place of the old one and all logs below this number, which must be closed. It reads these
+     * files and nothing else, so it may run beside commits; one at a time. False: there is nothing to replace.
      */
-    public void beginSnapshot(List<Entry> state) throws IOException {
-        usable();
-        try {
-            nextLog();
-            snapshot = new Snapshot(state.iterator(), logNumber, batch);
-        } catch (IOException | RuntimeException broken) {
-            failed = true;
-            throw broken;
-        }
-    }
-
-    /** Writes a piece of the snapshot in work, if there is one; false: there is nothing left to write. */
-    public boolean writePiece() throws IOException {
-        if (snapshot == null) {
+    public static boolean compact(Disk disk, long before) throws IOException {
+        List<String> old = older(disk, before);
+        if (old.stream().noneMatch(name -> name.startsWith(LOG))) {
             return false;
         }
-        usable();
-        try {
-            if (snapshot.write()) {
-                snapshot = null;
-            }
-            return true;
-        } catch (IOException | RuntimeException broken) {
-            failed = true;
-            throw broken;
-        }
-    }
-
-    private final class Snapshot {
-        private final Iterator<Entry> state;
-        private final long number;
-        private final long upTo;
-        private final String name;
-        private final Disk.Appender file;
-
-        Snapshot(Iterator<Entry> state, long number, long upTo) throws IOException {
-            this.state = state;
-            this.number = number;
-            this.upTo = upTo;
-            this.name = name(SNAPSHOT, number);
-            this.file = begin(name + UNFINISHED, number);
+        Ledger state = new Ledger(READING);
+        Reader reader = new Reader(disk, state::replay);
+        reader.readAll(before);
+        String name = name(SNAPSHOT, before);
+        if (disk.list().contains(name + UNFINISHED)) {
+            disk.delete(name + UNFINISHED);
         }
-
-        /** True once it is whole and stands in place of what was before it. */
-        boolean write() throws IOException {
+        try (Disk.Appender file = begin(disk, name + UNFINISHED, before)) {
+            Iterator<Entry> entries = state.snapshot().iterator();
             List<Entry> piece = new ArrayList<>();
-            int size = 0;
-            while (state.hasNext() && size < PIECE) {
-                Entry entry = state.next();
-                piece.add(entry);
-                size += entry instanceof Entry.Accepted accepted ? 64 + accepted.payload().length : 64;
-            }
-            byte[] batchBytes = encode(piece, upTo);
-            file.append(batchBytes, batchBytes.length);
-            if (!piece.isEmpty()) {
-                return false;
-            }
-            // The empty batch is its end.
-            file.sync();
-            file.close();
-            disk.rename(name + UNFINISHED, name);
-            disk.syncNames();
-            for (String old : disk.list()) {
-                boolean log = old.startsWith(LOG) && number(old, LOG) < number;
-                if (log || old.startsWith(SNAPSHOT) && !old.endsWith(UNFINISHED) && number(old, SNAPSHOT) < number) {
-                    disk.delete(old);
+            do {
+                piece.clear();
+                int size = 0;
+                while (entries.hasNext() && size < PIECE) {
+                    Entry entry = entries.next();
+                    piece.add(entry);
+                    size += entry instanceof Entry.Accepted accepted ? 64 + accepted.payload().length : 64;
                 }
+                // The empty batch is the end.
+                byte[] bytes = encode(piece, reader.batch, new ByteArrayOutputStream(PIECE));
+                file.append(bytes, bytes.length);
+            } while (!piece.isEmpty());
+            file.sync();
+        }
+        disk.rename(name + UNFINISHED, name);
+        disk.syncNames();
+        for (String each : old) {
+            disk.delete(each);
+        }
+        return true;
+    }
+
+    private static List<String> older(Disk disk, long before) throws IOException {
+        List<String> old = new ArrayList<>();
+        for (String name : disk.list()) {
+            String prefix = name.endsWith(UNFINISHED) ? null : name.startsWith(LOG) ? LOG
+                    : name.startsWith(SNAPSHOT) ? SNAPSHOT : null;
+            if (prefix != null && number(name, prefix) < before) {
+                old.add(name);
             }
-            return true;
         }
+        return old;
     }
 
     /** Batches, entries and bytes written since it was opened. */
--- a/durable/src/main/java/ferngrade/durable/StoreCommand.java
+++ b/durable/src/main/java/ferngrade/durable/StoreCommand.java
@@ -20,8 +20,6 @@
 public final class StoreCommand implements SubCommand, Runnable {
     /** The exit code for a store that is damaged. */
     static final int DAMAGED = 1;
-    /** Terms matter to changes alone; reading makes none. */
-    private static final Ledger.Terms NO_TERMS = new Ledger.Terms(1, 0, 0, 1, 0, 0);
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -38,7 +36,7 @@
 
         @Override
         public Integer call() {
-            Ledger ledger = new Ledger(NO_TERMS);
+            Ledger ledger = new Ledger(Journal.READING);
             try (FolderDisk disk = FolderDisk.look(folder)) {
                 Journal.Recovery found = Journal.inspect(disk, ledger::replay);
                 show(ledger, found);
@@ -109,7 +107,7 @@
 
         @Override
         public Integer call() {
-            Ledger ledger = new Ledger(NO_TERMS);
+            Ledger ledger = new Ledger(Journal.READING);
             try (FolderDisk disk = FolderDisk.look(from); FolderDisk mended = FolderDisk.hold(to)) {
                 if (!mended.list().isEmpty()) {
                     System.err.println("ferngrade: " + to + " is not empty");
--- a/durable/src/test/java/ferngrade/durable/CrashPointTest.java
+++ b/durable/src/test/java/ferngrade/durable/CrashPointTest.java
@@ -53,7 +53,7 @@
             this.chance = chance;
             this.clock = clock;
             this.numbers = numbers;
-            journal = Journal.open(disk, 1500, ledger::replay, found -> { });
+            journal = Journal.open(disk, 500, ledger::replay, found -> { });
             ledger.recovered(0);
         }
 
@@ -62,10 +62,9 @@
             if (!change.entries().isEmpty()) {
                 journal.commit(change.entries());
             }
-            if (journal.wantsSnapshot()) {
-                journal.beginSnapshot(ledger.snapshot());
+            if (chance.nextInt(12) == 0) {
+                Journal.compact(disk, journal.logNumber());
             }
-            journal.writePiece();
         }
 
         void play(int steps) throws IOException {
--- a/durable/src/test/java/ferngrade/durable/FaultyDisk.java
+++ b/durable/src/test/java/ferngrade/durable/FaultyDisk.java
@@ -124,17 +124,17 @@
     }
 
     @Override
-    public List<String> list() {
+    public synchronized List<String> list() {
         return List.copyOf(names.keySet());
     }
 
     @Override
-    public byte[] read(String name) {
+    public synchronized byte[] read(String name) {
         return names.get(name).now();
     }
 
     @Override
-    public Appender create(String name) throws IOException {
+    public synchronized Appender create(String name) throws IOException {
         step();
         Content content = new Content();
         if (names.putIfAbsent(name, content) != null) {
@@ -169,7 +169,7 @@
     }
 
     @Override
-    public void truncate(String name, long length) throws IOException {
+    public synchronized void truncate(String name, long length) throws IOException {
         step();
         Content content = names.get(name);
         content.synced = Arrays.copyOf(content.now(), (int) length);
@@ -177,19 +177,19 @@
     }
 
     @Override
-    public void rename(String from, String to) throws IOException {
+    public synchronized void rename(String from, String to) throws IOException {
         step();
         names.put(to, names.remove(from));
     }
 
     @Override
-    public void delete(String name) throws IOException {
+    public synchronized void delete(String name) throws IOException {
         step();
         names.remove(name);
     }
 
     @Override
-    public void syncNames() throws IOException {
+    public synchronized void syncNames() throws IOException {
         step();
         syncedNames = new TreeMap<>(names);
     }
--- a/lab/src/main/java/ferngrade/lab/Charts.java
+++ b/lab/src/main/java/ferngrade/lab/Charts.java
@@ -52,6 +52,12 @@
         return charts.charts;
     }
 
+    /** A setting without its parameter's name where there is only one, which the page names anyway. */
+    private static String brief(String point) {
+        int equals = point.indexOf('=');
+        return equals > 0 && equals == point.lastIndexOf('=') ? point.substring(equals + 1) : point;
+    }
+
     private List<String> policies() {
         return results.cells().stream().map(Results.Cell::policy).distinct().toList();
     }
@@ -63,7 +69,7 @@
         style(chart.getStyler());
         chart.getStyler().setXAxisLabelRotation(points.size() > 3 ? 30 : 0);
         chart.getStyler().setYAxisMin(0.0);
-        List<String> labels = points.stream().map(point -> point.isEmpty() ? "goodput" : point).toList();
+        List<String> labels = points.stream().map(point -> point.isEmpty() ? "goodput" : brief(point)).toList();
         for (String policy : policies()) {
             List<Double> means = new ArrayList<>();
             List<Double> halves = new ArrayList<>();
@@ -90,7 +96,7 @@
             return;
         }
         CategoryChart chart = new CategoryChartBuilder().width(WIDTH).height(HEIGHT)
-                .title(title + (point.isEmpty() ? "" : " (" + point + ")")).yAxisTitle("share of the worth").build();
+                .title(title + (point.isEmpty() ? "" : " (" + brief(point) + ")")).yAxisTitle("share of the worth").build();
         style(chart.getStyler());
         chart.getStyler().setYAxisMin(0.0);
         for (String policy : policies()) {
@@ -109,7 +115,7 @@
                 byPolicy.put(policy, results.meanSeries(cell));
             }
         }
-        String of = point.isEmpty() ? "" : " (" + point + ")";
+        String of = point.isEmpty() ? "" : " (" + brief(point) + ")";
         lines("goodput-over-time" + suffix, "Goodput by time of arrival" + of, "share of the worth", byPolicy, "goodput");
         if (all) {
             others(suffix, of, byPolicy);
@@ -117,7 +123,9 @@
         Map<String, double[]> first = byPolicy.values().iterator().next();
         Map<String, double[]> slices = new LinkedHashMap<>();
         Set<String> names = first.keySet();
-        names.stream().filter(name -> name.startsWith("slice ") || name.equals("budget"))
+        // The sum dwarfs the slices of a larger tier.
+        boolean few = names.stream().filter(name -> name.startsWith("slice ")).count() <= FEW_SETTINGS;
+        names.stream().filter(name -> name.startsWith("slice ") || few && name.equals("budget"))
                 .forEach(name -> slices.put(name, first.get(name)));
         draw("slices-over-time" + suffix, "Slices of the budget, " + byPolicy.keySet().iterator().next() + of,
                 "slots a second", slices);
