--- a/durable/src/main/java/ferngrade/durable/Ledger.java
+++ b/durable/src/main/java/ferngrade/durable/Ledger.java
@@ -354,14 +354,16 @@
                     first.at(), first.payload()));
         }
         // In the order of their tokens, which only grow in a log.
-        jobs.values().stream().filter(job -> job.token > 0).sorted((a, b) -> Long.compare(a.token, b.token))
+        jobs.values().stream().filter(job -> job.state != JobState.ACCEPTED || job.token > 0).sorted((a, b) -> Long.compare(a.token, b.token))
                 .forEach(job -> snapshot(job, entries));
         entries.add(new Entry.Tokens(highestToken));
         return entries;
     }
 
     private static void snapshot(Job job, List<Entry> entries) {
-        entries.add(new Entry.Leased(job.id(), job.worker, job.token, job.leasedAt));
+        if (job.token > 0) {
+            entries.add(new Entry.Leased(job.id(), job.worker, job.token, job.leasedAt));
+        }
         if (!Double.isNaN(job.firstDoubtfulAt)) {
             entries.add(job.state == JobState.STARTED ? new Entry.Started(job.id(), job.token, job.firstDoubtfulAt)
                     : new Entry.Doubted(job.id(), job.token, job.firstDoubtfulAt));
--- a/durable/src/main/java/ferngrade/durable/StoreCommand.java
+++ b/durable/src/main/java/ferngrade/durable/StoreCommand.java
@@ -97,8 +97,11 @@
 
     /** Saves what can be read of a damaged store into a new one. */
     @Command(name = "repair", description = "Writes all that can be read before the damage into a new folder, and says"
-            + " where it stopped. Jobs that were out by then are in doubt: they are not started again.")
+            + " where it stopped. If it did, every job without an answer is in doubt, and is not started again.")
     static final class Repair implements Callable<Integer> {
+        /** More tokens than a damaged part can have given out. */
+        private static final long TOKENS_UNSEEN = 1L << 40;
+
         @Parameters(index = "0", paramLabel = "DIR")
         private Path from;
 
@@ -114,17 +117,22 @@
                     return Cli.BAD_CONFIG;
                 }
                 String stopped = "nothing was damaged";
+                boolean damaged = false;
                 try {
                     Journal.inspect(disk, ledger::replay);
-                } catch (DamagedException damaged) {
-                    stopped = "stopped at " + damaged.getMessage();
+                } catch (DamagedException place) {
+                    damaged = true;
+                    stopped = "stopped at " + place.getMessage();
                 }
                 List<Entry> saved = new ArrayList<>(ledger.snapshot());
-                // What came after the damage is unknown: each job that waits may have been leased there.
-                for (Job job : ledger.jobs()) {
-                    if (!stopped.startsWith("nothing") && job.state() == JobState.LEASED) {
-                        saved.add(new Entry.Doubted(job.id(), job.token(), job.leasedAt));
+                if (damaged) {
+                    // What came after the damage is unknown: a job that waits may have been leased there, and begun.
+                    for (Job job : ledger.jobs()) {
+                        if (!job.state().ended()) {
+                            saved.add(new Entry.Doubted(job.id(), job.token(), job.accepted().at()));
+                        }
                     }
+                    saved.add(new Entry.Tokens(ledger.highestToken() + TOKENS_UNSEEN));
                 }
                 try (Journal journal = Journal.open(mended, Long.MAX_VALUE, entry -> { }, found -> { })) {
                     journal.commit(saved);
--- a/durable/src/test/java/ferngrade/durable/StoreCommandTest.java
+++ b/durable/src/test/java/ferngrade/durable/StoreCommandTest.java
@@ -94,6 +94,21 @@
         Path mended = folder.resolve("mended");
         assertTrue(said(0, "store", "repair", store.toString(), mended.toString()).contains("stopped at log-"));
         assertTrue(said(0, "store", "check", mended.toString()).startsWith("sound"));
+        // The damaged part may have leased what waits before it: nothing of that may start, nor a token come again.
+        Ledger saved = new Ledger(TERMS);
+        try (FolderDisk disk = FolderDisk.look(mended)) {
+            Journal.inspect(disk, saved::replay);
+            assertFalse(saved.jobs().isEmpty());
+            for (Job job : saved.jobs()) {
+                assertEquals(JobState.IN_DOUBT, job.state());
+                assertFalse(saved.lease(job.id(), "w3", 10, 0).allowed());
+            }
+            Ledger again = new Ledger(TERMS);
+            saved.snapshot().forEach(again::replay);
+            assertEquals(saved.snapshot(), again.snapshot());
+            assertEquals(JobState.IN_DOUBT, again.jobs().iterator().next().state());
+            assertTrue(again.highestToken() > 1000);
+        }
     }
 
     @Test
