Add the operators' admin listener: ready, drain, resume, figures, maintenance

Change: - An admin listener where `admin` or $LB_ADMIN says (none otherwise), on the node's loop: GET /-/ready, GET /-/metrics, POST /-/drain, /-/resume, /-/menu-workers/ID/disable|enable. One call a connection, 1 s to bring it, at most 8 callers held (the oldest gives way), 404/405/400 for the rest. - Drain: ready says no, idle connections end at once, every answer closes its connection; resume undoes it. - Maintenance (node.Maintenance, no I/O): a worker taken out is told to the decisions as draining, whatever discovery says, until it is taken back; it then returns as started at that moment, so the cold rule holds. A set, not a count. Written atomically (write beside, rename) to $TMPDIR on a thread of its own before the yes, and taken over at the next start; a torn file is logged and left aside. - LB_ACCEPT_FD: the clients' socket is taken over from descriptor 0 (System.inheritedChannel) and only registered; a call-back for a job this process never had gets 503 and a close there, so that the worker's next try may reach the other process. Anything else named there ends the start with code 2. - Figures counted where the node gives final answers and writes attempts; in_flight, known and excluded are looked up when asked.

Rejected: a metrics library (Dropwizard, Micrometer) in the lean jar: nine counters owned by one thread need no concurrency, and each library loads hundreds of classes at a start that must not grow.

--- a/decisions/src/main/java/ferngrade/Choice.java
+++ b/decisions/src/main/java/ferngrade/Choice.java
@@ -16,6 +16,7 @@
 import java.util.SplittableRandom;
 import java.util.function.DoubleConsumer;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /**
  * All decisions of one dispatcher. The interface, its types, events and actions, is {@link Dispatcher}. A
@@ -711,6 +712,11 @@
     // ---- Retries and answers: one guard for every further attempt and every refusal ----
 
     /** True if the attempt is out, or ended in a way that does not prove that the job never ran. */
+    @Override
+    public int excluded(double now) {
+        return (int) Stream.concat(local.stream(), remote.stream()).filter(n -> n.ejectedUntil > now).count();
+    }
+
     private static boolean mayHaveRun(Attempt attempt) {
         return attempt.outcome == null || !attempt.outcome.neverRan;
     }
--- a/decisions/src/main/java/ferngrade/Dispatcher.java
+++ b/decisions/src/main/java/ferngrade/Dispatcher.java
@@ -45,6 +45,11 @@
     /** A timer asked for by {@link Actions#timer} has run out. */
     void timer(double now, long token);
 
+    /** Listed workers that take no jobs now by the module's own choice, say ejected after failures; 0 if none. */
+    default int excluded(double now) {
+        return 0;
+    }
+
     /** What the module may ask of its host; carried out at once, in the order of the calls. */
     interface Actions {
         /** Sends an attempt (numbered 0, 1, 2 ... for each request), given up after {@code timeout} ms. */
--- a/node/src/main/java/ferngrade/cli/Serve.java
+++ b/node/src/main/java/ferngrade/cli/Serve.java
@@ -26,11 +26,18 @@
             System.err.println("ferngrade: " + bad.getMessage());
             return Cli.BAD_CONFIG;
         }
+        NodeServer.Platform platform;
+        try {
+            platform = Handover.fromEnvironment(System.getenv());
+        } catch (ConfigException bad) {
+            System.err.println("ferngrade: " + bad.getMessage());
+            return Cli.BAD_CONFIG;
+        }
         Clock clock = Clock.system();
         Log log = new Log(clock, line -> System.err.printf("%.3f %s %s%n", clock.now() / 1000, config.name(), line));
         NodeServer server;
         try {
-            server = NodeServer.start(config, clock, log);
+            server = NodeServer.start(config, platform, clock, log);
         } catch (Exception failed) {
             System.err.println("ferngrade: listen: " + failed.getMessage());
             return 1;
@@ -51,7 +58,7 @@
         try {
             server.reload(NodeConfig.reread(System.getenv()));
         } catch (ConfigException bad) {
-            server.report("configuration stays as it is: " + bad.getMessage());
+            server.reloadFailed("configuration stays as it is: " + bad.getMessage());
         }
     }
 
--- a/node/src/main/java/ferngrade/config/NodeConfig.java
+++ b/node/src/main/java/ferngrade/config/NodeConfig.java
@@ -25,10 +25,13 @@
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         int sockets, int memoryMb, InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
         MemberList known, Settings settings, MemberReader memberReader, double connectTimeout,
-        double connectionIdle, int mostOpen) {
-    /** Reads the file that {@code LB_CONFIG} names; the other {@code LB_*} variables take precedence. */
+        double connectionIdle, int mostOpen, InetSocketAddress admin) {
+    /**
+     * Reads the file that {@code LB_CONFIG} names; the other {@code LB_*} variables take precedence. {@code admin},
+     * where operators call, is null where neither the file nor {@code LB_ADMIN} names one.
+     */
     public static NodeConfig fromEnvironment(Map<String, String> environment) throws ConfigException {
-        return read(overridden(parse(environment), environment, List.of("name", "listen", "discovery")));
+        return read(overridden(parse(environment), environment, List.of("name", "listen", "discovery", "admin")));
     }
 
     /**
@@ -39,7 +42,7 @@
         JsonObject json = parse(environment);
         boolean moved = json.get("discovery") != null;
         return read(overridden(json, environment,
-                moved ? List.of("name", "listen") : List.of("name", "listen", "discovery")));
+                moved ? List.of("name", "listen", "admin") : List.of("name", "listen", "discovery", "admin")));
     }
 
     private static JsonObject overridden(JsonObject json, Map<String, String> environment, List<String> fields) {
@@ -91,7 +94,8 @@
         return new NodeConfig(text(json, "name"), required(json, "listen"), required(json, "discovery"),
                 seed(json), limit(json, "sockets", 64, 1024), limit(json, "memory_mb", 16, 192), optional(json, "peer_listen"), peers, optional(json, "peers_all"),
                 known(json, reader), settings, reader, number(mapping, "Ceilings.ConnectTimeout", 1000),
-                number(mapping, "Ceilings.ConnIdle", 60000), (int) number(mapping, "Ceilings.OpenCap", 20000));
+                number(mapping, "Ceilings.ConnIdle", 60000), (int) number(mapping, "Ceilings.OpenCap", 20000),
+                optional(json, "admin"));
     }
 
     private static double number(SettingsMapping mapping, String path, double absent) throws ConfigException {
--- /dev/null
+++ b/node/src/main/java/ferngrade/net/Admin.java
@@ -0,0 +1,159 @@
+package ferngrade.net;
+
+import ferngrade.config.MaintenanceCodec;
+import ferngrade.node.Figures;
+import ferngrade.node.Log;
+import ferngrade.node.Node;
+import ferngrade.node.StateFile;
+import ferngrade.node.Timers;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+
+/**
+ * Where operators call: HTTP/1.1, one call to a connection, 2xx for yes and 4xx or 5xx for no. It runs on the
+ * node's loop, so that each call sees the node as it is; nothing here waits. A caller has {@link #PATIENCE} to
+ * bring its whole call, and at most {@code most} callers are held at a time, the oldest giving way, so that silent
+ * ones cost nobody else.
+ */
+final class Admin {
+    /** How long a caller may take to bring a whole call, ms; callers wait 1 s for the answer. */
+    static final double PATIENCE = 1000;
+    /** The largest call, in bytes: calls carry no bodies worth the name. */
+    static final int MOST_CALL = 4096;
+
+    private final Node node;
+    private final Front front;
+    private final List<String> classes;
+    private final StateFile state;
+    private final Executor loop;
+    private final Timers timers;
+    private final Log log;
+    private final int most;
+    private final IntSupplier reloadsOk;
+    private final IntSupplier reloadsFailed;
+    private final Set<Channel> callers = new LinkedHashSet<>();
+
+    /** What the operators' calls act on; {@code state} is null where nothing is to outlive the process. */
+    record Parts(Node node, Front front, List<String> classes, StateFile state, IntSupplier reloadsOk,
+            IntSupplier reloadsFailed) { }
+
+    Admin(Parts parts, Executor loop, Timers timers, Log log, int most) {
+        this.node = parts.node();
+        this.front = parts.front();
+        this.classes = parts.classes();
+        this.state = parts.state();
+        this.reloadsOk = parts.reloadsOk();
+        this.reloadsFailed = parts.reloadsFailed();
+        this.loop = loop;
+        this.timers = timers;
+        this.log = log;
+        this.most = most;
+    }
+
+    /** Begins to listen at {@code address}. */
+    ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
+        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_CALL),
+                                new AdminHandler(Admin.this));
+                    }
+                }).bind(address);
+    }
+
+    /** A caller has connected: it gets its time, and pushes out the oldest caller where there are too many. */
+    void opened(Channel caller) {
+        callers.add(caller);
+        if (callers.size() > most) {
+            Channel oldest = callers.iterator().next();
+            callers.remove(oldest);
+            oldest.close();
+        }
+        timers.after(PATIENCE, caller::close);
+    }
+
+    void closed(Channel caller) {
+        callers.remove(caller);
+    }
+
+    // ---- The calls ----
+
+    boolean ready() {
+        return node.ready() && front.takesClients();
+    }
+
+    void drain() {
+        log.line("drained by operators");
+        front.drainForOperators();
+    }
+
+    void resume() {
+        log.line("taking clients again");
+        front.resume();
+    }
+
+    /**
+     * Takes a worker out, or back; {@code answer} gets false at once for a name that nobody has, and true once
+     * the change would outlive this process.
+     */
+    void maintain(String worker, boolean out, Consumer<Boolean> answer) {
+        boolean known = out ? node.takeOut(worker) : node.giveBack(worker);
+        if (!known) {
+            answer.accept(false);
+            return;
+        }
+        log.line("menu worker " + worker + (out ? " taken out by operators" : " taken back by operators"));
+        if (state == null) {
+            answer.accept(true);
+            return;
+        }
+        state.write(MaintenanceCodec.write(node.maintenanceSaved()), failed -> loop.execute(() -> {
+            if (failed != null) {
+                log.line("maintenance not saved for a later process: " + failed.getMessage());
+            }
+            answer.accept(true);
+        }));
+    }
+
+    /** The figures in the operators' form, a {@code name=value} a line. */
+    String figures() {
+        Figures.Snapshot now = node.figures();
+        StringBuilder text = new StringBuilder(256);
+        for (int i = 0; i < classes.size(); i++) {
+            line(text, "served." + classes.get(i), count(now.served(), i));
+            line(text, "refused." + classes.get(i), count(now.refused(), i));
+            line(text, "failed." + classes.get(i), count(now.failed(), i));
+        }
+        line(text, "attempts", now.attempts());
+        line(text, "in_flight", now.inFlight());
+        line(text, "menu_workers_known", now.known());
+        line(text, "menu_workers_excluded", now.excluded());
+        line(text, "reloads_ok", reloadsOk.getAsInt());
+        line(text, "reloads_failed", reloadsFailed.getAsInt());
+        return text.toString();
+    }
+
+    private static long count(long[] counts, int jobClass) {
+        return jobClass < counts.length ? counts[jobClass] : 0;
+    }
+
+    private static void line(StringBuilder text, String name, long value) {
+        text.append(name).append('=').append(value).append('\n');
+    }
+}
--- /dev/null
+++ b/node/src/main/java/ferngrade/net/AdminHandler.java
@@ -0,0 +1,130 @@
+package ferngrade.net;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+
+/** One operator's call: read whole, answered once, and the connection ends behind the answer. */
+final class AdminHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final String WORKERS = "/-/menu-workers/";
+
+    private final Admin admin;
+    private boolean answered;
+
+    AdminHandler(Admin admin) {
+        this.admin = admin;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        admin.opened(ctx.channel());
+        ctx.fireChannelActive();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        admin.closed(ctx.channel());
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest call) {
+        if (answered) {
+            return;
+        }
+        if (call.decoderResult().isFailure()) {
+            answer(ctx, HttpResponseStatus.BAD_REQUEST, "not a call in HTTP/1.1\n");
+            return;
+        }
+        String path = new QueryStringDecoder(call.uri()).rawPath();
+        HttpMethod method = call.method();
+        switch (path) {
+            case "/-/ready" -> {
+                if (expect(ctx, method, HttpMethod.GET)) {
+                    boolean ready = admin.ready();
+                    answer(ctx, ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                            ready ? "ready\n" : "not ready\n");
+                }
+            }
+            case "/-/metrics" -> {
+                if (expect(ctx, method, HttpMethod.GET)) {
+                    answer(ctx, HttpResponseStatus.OK, admin.figures());
+                }
+            }
+            case "/-/drain" -> {
+                if (expect(ctx, method, HttpMethod.POST)) {
+                    admin.drain();
+                    answer(ctx, HttpResponseStatus.OK, "draining\n");
+                }
+            }
+            case "/-/resume" -> {
+                if (expect(ctx, method, HttpMethod.POST)) {
+                    admin.resume();
+                    answer(ctx, HttpResponseStatus.OK, "taking clients\n");
+                }
+            }
+            default -> worker(ctx, method, path);
+        }
+    }
+
+    /** {@code /-/menu-workers/ID/disable} or {@code .../enable}. */
+    private void worker(ChannelHandlerContext ctx, HttpMethod method, String path) {
+        int slash = path.lastIndexOf('/');
+        String verb = path.substring(slash + 1);
+        boolean out = verb.equals("disable");
+        if (!path.startsWith(WORKERS) || slash <= WORKERS.length() || !(out || verb.equals("enable"))) {
+            answer(ctx, HttpResponseStatus.NOT_FOUND, "no such call\n");
+            return;
+        }
+        if (!expect(ctx, method, HttpMethod.POST)) {
+            return;
+        }
+        String worker = QueryStringDecoder.decodeComponent(path.substring(WORKERS.length(), slash));
+        answered = true;
+        admin.maintain(worker, out, known -> {
+            answered = false;
+            if (known) {
+                answer(ctx, HttpResponseStatus.OK, (out ? "taken out: " : "taken back: ") + worker + "\n");
+            } else {
+                answer(ctx, HttpResponseStatus.NOT_FOUND, "no menu worker " + worker + "\n");
+            }
+        });
+    }
+
+    private boolean expect(ChannelHandlerContext ctx, HttpMethod method, HttpMethod wanted) {
+        if (method.equals(wanted)) {
+            return true;
+        }
+        answer(ctx, HttpResponseStatus.METHOD_NOT_ALLOWED, "use " + wanted + "\n");
+        return false;
+    }
+
+    private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
+        if (answered) {
+            return;
+        }
+        answered = true;
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- a/node/src/main/java/ferngrade/net/Front.java
+++ b/node/src/main/java/ferngrade/net/Front.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -42,7 +43,9 @@
     /** What owes something, and since when; the oldest comes first. */
     private final Map<FrontHandler, Double> owing = new LinkedHashMap<>();
     private Channel listener;
+    private boolean inherited;
     private boolean draining;
+    private boolean drained;
     private Runnable whenDone;
     private int jobs;
 
@@ -52,11 +55,21 @@
         this.timers = timers;
     }
 
-    /** Begins to listen. */
-    ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, Node node, RequestReader reader, Log log) {
-        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
+    /**
+     * Begins to listen: on {@code taken}, a listening socket that this process was handed, or else on a socket of
+     * its own at {@code address}.
+     */
+    ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, ServerSocketChannel taken, Node node,
+            RequestReader reader, Log log) {
+        ServerBootstrap bootstrap = new ServerBootstrap().group(group);
+        if (taken != null) {
+            bootstrap.channelFactory(() -> new NioServerSocketChannel(taken));
+        } else {
+            bootstrap.channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true);
+        }
+        inherited = taken != null;
+        bootstrap.childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -64,7 +77,9 @@
                         channel.pipeline().addLast(handler.firstBytes(), new HttpServerCodec(),
                                 new BodyAggregator(MOST_BODY), handler);
                     }
-                }).bind(address);
+                });
+        // A socket handed over is bound already: it is only registered with the loop.
+        ChannelFuture bound = taken != null ? bootstrap.register() : bootstrap.bind(address);
         listener = bound.channel();
         timers.after(SWEEP, this::sweep);
         return bound;
@@ -74,8 +89,19 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
+    /** True while every answer ends its connection: the node stops, or operators have drained it. */
     boolean draining() {
-        return draining;
+        return draining || drained;
+    }
+
+    /** True if the socket was handed to this process, and so may be shared with another one at times. */
+    boolean inherited() {
+        return inherited;
+    }
+
+    /** True unless the node stops or operators have drained it; the client front then sends no one new. */
+    boolean takesClients() {
+        return !draining && !drained;
     }
 
     /** From here on every answer ends its connection; new ones are still accepted. */
@@ -83,6 +109,20 @@
         draining = true;
     }
 
+    /**
+     * Operators send clients away: ready says no, every answer ends its connection, and what stands idle ends at
+     * once, so that the client front's new connections go elsewhere. Jobs in work end as ever.
+     */
+    void drainForOperators() {
+        drained = true;
+        new ArrayList<>(idle).forEach(this::end);
+    }
+
+    /** Operators take clients again. */
+    void resume() {
+        drained = false;
+    }
+
     /**
      * Takes no more jobs, ends what is idle, and calls {@code done} when every job has its answer. Till then
      * it listens: the workers' call-backs, which those answers wait for, come on connections of their own.
@@ -148,7 +188,7 @@
     }
 
     void idle(FrontHandler connection) {
-        if (whenDone != null) {
+        if (whenDone != null || drained) {
             connection.close();
         } else if (connection.proven()) {
             idle.add(connection);
--- a/node/src/main/java/ferngrade/net/FrontHandler.java
+++ b/node/src/main/java/ferngrade/net/FrontHandler.java
@@ -134,26 +134,39 @@
         }
         String path = new QueryStringDecoder(request.uri()).rawPath();
         if (path.equals("/-/ready")) {
-            boolean ready = node.ready() && !front.draining();
+            boolean ready = node.ready() && front.takesClients();
             answer(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
         } else if (!request.method().equals(HttpMethod.POST)) {
             error(HttpResponseStatus.METHOD_NOT_ALLOWED, "jobs come by POST");
         } else if (path.equals("/_jobs/news")) {
-            proven |= node.news(NewsReader.read(request.content().toString(StandardCharsets.UTF_8)));
-            answer(HttpResponseStatus.NO_CONTENT, "");
+            news(NewsReader.read(request.content().toString(StandardCharsets.UTF_8)));
         } else {
             job(request);
         }
     }
 
+    /**
+     * A worker's call-back. On a socket that is handed from one process to the next, one for a job that this
+     * process never had may belong to the other one: it gets 503 and a close, so that the worker's next try comes
+     * on a new connection, which the other process may accept.
+     */
+    private void news(ferngrade.node.News news) {
+        if (front.inherited() && !node.knowsOf(news.id())) {
+            error(HttpResponseStatus.SERVICE_UNAVAILABLE, "no such job here");
+            return;
+        }
+        proven |= node.news(news);
+        answer(HttpResponseStatus.NO_CONTENT, "");
+    }
+
     private void job(FullHttpRequest request) throws BadRequestException {
         Job job = reader.job(request, clock.now());
         if (front.finishing()) {
-            new HttpReply().refused(0);
+            node.refuse(job, new HttpReply(), 0);
             return;
         }
         if (front.crowded()) {
-            node.refuseForRoom(new HttpReply());
+            node.refuseForRoom(job, new HttpReply());
             return;
         }
         front.took();
--- a/node/src/main/java/ferngrade/net/NodeServer.java
+++ b/node/src/main/java/ferngrade/net/NodeServer.java
@@ -3,18 +3,24 @@
 import ferngrade.Choice;
 import ferngrade.Dispatcher;
 import ferngrade.Dispatcher.Actions;
+import ferngrade.Dispatcher.JobClass;
 import ferngrade.Dispatcher.News;
+import ferngrade.config.MaintenanceCodec;
 import ferngrade.config.NodeConfig;
 import ferngrade.node.Clock;
 import ferngrade.node.Log;
 import ferngrade.node.Node;
+import ferngrade.node.StateFile;
 import ferngrade.node.Timers;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -29,7 +35,13 @@
     /** Requests held for each MB of the limit: with their attempts and timers some KB each, a sixteenth of it. */
     private static final int REQUESTS_A_MB = 16;
 
+    /** Operators' callers held at a time, beside all else: a few, as the ops staff call one at a time. */
+    private static final int CALLERS = 8;
+    /** The file in the platform's temporary folder that passes maintenance on to the next process. */
+    private static final String MAINTENANCE_FILE = "ferngrade-maintenance.json";
+
     private final NodeConfig config;
+    private final Platform platform;
     private final Clock clock;
     private final Log log;
     private final Decisions decisions;
@@ -40,9 +52,22 @@
     private final Front front;
     private Discovery discovery;
     private final CountDownLatch finished = new CountDownLatch(1);
+    private int reloadsOk;
+    private int reloadsFailed;
+
+    /**
+     * What the platform hands a process beside its configuration: {@code accepted}, the clients' listening socket,
+     * or null where the node binds its own; {@code state}, a folder that a later process of the node shares, or
+     * null for none.
+     */
+    public record Platform(ServerSocketChannel accepted, Path state) {
+        /** Nothing handed over: the node binds its own socket and keeps nothing. */
+        public static final Platform NONE = new Platform(null, null);
+    }
 
-    private NodeServer(NodeConfig config, Clock clock, Log log, Decisions decisions) {
+    private NodeServer(NodeConfig config, Platform platform, Clock clock, Log log, Decisions decisions) {
         this.decisions = decisions;
+        this.platform = platform;
         this.config = config;
         this.clock = clock;
         this.log = log;
@@ -61,13 +86,23 @@
 
     /** Starts a node, which listens when this returns; an address in use ends in an exception. */
     public static NodeServer start(NodeConfig config, Clock clock, Log log) throws Exception {
-        return start(config, clock, log,
+        return start(config, Platform.NONE, clock, log);
+    }
+
+    /** Starts a node with what the platform hands over. */
+    public static NodeServer start(NodeConfig config, Platform platform, Clock clock, Log log) throws Exception {
+        return start(config, platform, clock, log,
                 (told, now, actions) -> new Choice(told.settings(), told.seed(), now, actions));
     }
 
     /** Starts a node round other decisions than the module's, for those that hold the two against each other. */
     public static NodeServer start(NodeConfig config, Clock clock, Log log, Decisions decisions) throws Exception {
-        NodeServer server = new NodeServer(config, clock, log, decisions);
+        return start(config, Platform.NONE, clock, log, decisions);
+    }
+
+    private static NodeServer start(NodeConfig config, Platform platform, Clock clock, Log log,
+            Decisions decisions) throws Exception {
+        NodeServer server = new NodeServer(config, platform, clock, log, decisions);
         try {
             for (ChannelFuture bound : server.loop.submit(server::assemble).get()) {
                 bound.get();
@@ -92,6 +127,8 @@
         UdpPeers peers = new UdpPeers(config.peers(), config.peersAll(), log);
         Node node = new Node(new Node.Surroundings(clock, timers, loop, workers, peers, log), room(),
                 actions -> decisions.start(config, clock.now(), actions));
+        StateFile state = platform.state() == null ? null : new StateFile(platform.state().resolve(MAINTENANCE_FILE));
+        restore(node, state);
         if (config.known() != null) {
             node.members(News.STORED, config.known().members());
         }
@@ -99,19 +136,46 @@
         if (config.peerListen() != null) {
             bound.add(peers.listen(group, config.peerListen(), node::heard));
         }
-        bound.add(front.listen(group, config.listen(), node, new RequestReader(config.settings()), log));
+        bound.add(front.listen(group, config.listen(), platform.accepted(), node, new RequestReader(config.settings()),
+                log));
+        if (config.admin() != null) {
+            List<String> classes = config.settings().classes().stream().map(JobClass::name).toList();
+            Admin admin = new Admin(new Admin.Parts(node, front, classes, state, () -> reloadsOk, () -> reloadsFailed),
+                    loop, timers, log, CALLERS);
+            bound.add(admin.listen(group, config.admin()));
+        }
         discovery = new Discovery((address, whenListed) ->
                 new DiscoveryWatch(group, address, config.memberReader(), node, timers, log, whenListed));
         discovery.watch(config.discovery());
         return bound;
     }
 
+    /**
+     * Takes over the maintenance that an earlier process of this node left. What cannot be read, a torn or foreign
+     * file among others, is said in the log and left aside: the node starts without it.
+     */
+    private void restore(Node node, StateFile state) {
+        if (state == null) {
+            return;
+        }
+        try {
+            String saved = state.read();
+            if (saved != null) {
+                node.restoreMaintenance(MaintenanceCodec.read(saved));
+                log.line("maintenance taken over from an earlier process");
+            }
+        } catch (IOException | IllegalArgumentException unusable) {
+            log.line("maintenance of an earlier process left aside: " + unusable.getMessage());
+        }
+    }
+
     /**
      * Takes over what a configuration, read while the node runs, says of discovery; the rest counts from the next
      * start on. Jobs in work, the last worker list and all that was learned stay. Any thread may call this.
      */
     public void reload(NodeConfig changed) {
         loop.execute(() -> {
+            reloadsOk++;
             log.line("configuration read anew, discovery is at " + changed.discovery());
             if (!changed.settings().equals(config.settings())) {
                 log.line("the settings have changed too; they count from the next start on");
@@ -125,6 +189,14 @@
         loop.execute(() -> log.line(line));
     }
 
+    /** Counts a configuration that could not be used, and says why in the log; from any thread. */
+    public void reloadFailed(String line) {
+        loop.execute(() -> {
+            reloadsFailed++;
+            log.line(line);
+        });
+    }
+
     /** Where the node listens. */
     public InetSocketAddress address() {
         return front.address();
--- /dev/null
+++ b/node/src/main/java/ferngrade/node/Maintenance.java
@@ -0,0 +1,124 @@
+package ferngrade.node;
+
+import ferngrade.Dispatcher.News;
+import ferngrade.Dispatcher.State;
+import ferngrade.Dispatcher.Worker;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * The menu workers that operators have put in maintenance, laid over what the list says. The decisions are told
+ * of such a worker as one that drains, whatever discovery says, until the operators take it back; it then comes
+ * back as a process started at that moment, since operators restart it meanwhile and it returns cold. A set,
+ * not a count: two calls out need one call back.
+ *
+ * <p>No I/O and no clock: times come as arguments, in milliseconds since 1970, so that the state can pass to a
+ * later process through a file.
+ */
+public final class Maintenance {
+    private final Set<String> out = new TreeSet<>();
+    /** When each worker taken back returned; it counts as started then until the list tells of a later start. */
+    private final Map<String, Double> back = new HashMap<>();
+    /** The list's own entries, as last told, by name. */
+    private final Map<String, Member> listed = new HashMap<>();
+
+    /** Lays maintenance over news of the list, and keeps the list's own word. */
+    List<Member> over(News news, List<Member> entries) {
+        if (news != News.CHANGES) {
+            listed.clear();
+        }
+        List<Member> told = new ArrayList<>(entries.size());
+        for (Member entry : entries) {
+            if (entry.worker().state() == State.GONE) {
+                listed.remove(entry.name());
+            } else {
+                listed.put(entry.name(), entry);
+            }
+            told.add(overlaid(entry));
+        }
+        return told;
+    }
+
+    private Member overlaid(Member entry) {
+        Worker worker = entry.worker();
+        if (worker.state() == State.GONE) {
+            return entry;
+        }
+        if (out.contains(entry.name())) {
+            return with(entry, State.DRAINING, worker.startedAt());
+        }
+        Double returned = back.get(entry.name());
+        if (returned == null) {
+            return entry;
+        }
+        if (worker.startedAt() >= returned) {
+            back.remove(entry.name());
+            return entry;
+        }
+        return with(entry, worker.state(), returned);
+    }
+
+    private static Member with(Member entry, State state, double startedAt) {
+        Worker worker = entry.worker();
+        return new Member(entry.name(), entry.address(), new Worker(worker.id(), state, worker.zone(), worker.kind(),
+                worker.cell(), startedAt, worker.weight()));
+    }
+
+    /** True if the list holds this worker or it is in maintenance: operators may name it. */
+    public boolean knows(String name) {
+        return listed.containsKey(name) || out.contains(name);
+    }
+
+    /**
+     * Puts a worker in maintenance. Returns the entry that the decisions are to be told now, or null where the
+     * list does not hold it at present.
+     */
+    Member take(String name) {
+        out.add(name);
+        back.remove(name);
+        Member entry = listed.get(name);
+        return entry == null ? null : overlaid(entry);
+    }
+
+    /** Takes a worker back at {@code now}; returns what the decisions are to be told, or null as above. */
+    Member giveBack(String name, double now) {
+        if (out.remove(name)) {
+            back.put(name, now);
+        }
+        Member entry = listed.get(name);
+        return entry == null ? null : overlaid(entry);
+    }
+
+    /** Listed workers in maintenance. */
+    public int listedOut() {
+        return (int) out.stream().filter(listed::containsKey).count();
+    }
+
+    /** Listed workers, whatever their phase. */
+    public int listedAll() {
+        return listed.size();
+    }
+
+    /** What a later process takes over: names in maintenance, and when each worker taken back returned. */
+    public record Saved(Set<String> out, Map<String, Double> back) {
+        public Saved {
+            out = Set.copyOf(out);
+            back = Map.copyOf(back);
+        }
+    }
+
+    /** The state that a later process takes over. */
+    public Saved saved() {
+        return new Saved(out, back);
+    }
+
+    /** Takes over what an earlier process saved, beside what this one has. */
+    public void restore(Saved saved) {
+        out.addAll(saved.out());
+        back.putAll(saved.back());
+    }
+}
--- a/node/src/main/java/ferngrade/node/Node.java
+++ b/node/src/main/java/ferngrade/node/Node.java
@@ -43,6 +43,8 @@
     private final Members members = new Members();
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final RecentIds finished;
+    private final Maintenance maintenance = new Maintenance();
+    private final Figures figures = new Figures();
     private long bytes;
     private List<Runnable> ready = new ArrayList<>();
     private List<Runnable> asked = new ArrayList<>();
@@ -90,10 +92,10 @@
             return false;
         }
         if (exchanges.size() >= room.requests() || bytes + call.body().length > room.bytes()) {
-            refuseForRoom(reply);
+            refuseForRoom(job, reply);
             return true;
         }
-        Exchange exchange = new Exchange(job, call, reply);
+        Exchange exchange = new Exchange(job, call, counted(job.jobClass(), reply));
         exchanges.put(job.id(), exchange);
         bytes += call.body().length;
         exchange.guard = timers.after(job.due() - clock.now() + GUARD, () -> overdue(exchange));
@@ -102,8 +104,36 @@
     }
 
     /** Refuses a request that the module is not to see, because there is no room for it. */
-    public void refuseForRoom(Reply reply) {
-        reply.refused(room.retryAfter());
+    public void refuseForRoom(Job job, Reply reply) {
+        refuse(job, reply, room.retryAfter());
+    }
+
+    /** Refuses a request that the module is not to see, say because the node stops; {@code retryAfter} in ms. */
+    public void refuse(Job job, Reply reply, double retryAfter) {
+        figures.refused(job.jobClass());
+        reply.refused(retryAfter);
+    }
+
+    private Reply counted(int jobClass, Reply reply) {
+        return new Reply() {
+            @Override
+            public void served(String result) {
+                figures.served(jobClass);
+                reply.served(result);
+            }
+
+            @Override
+            public void refused(double retryAfter) {
+                figures.refused(jobClass);
+                reply.refused(retryAfter);
+            }
+
+            @Override
+            public void failed() {
+                figures.failed(jobClass);
+                reply.failed();
+            }
+        };
     }
 
     /** The client of this request has gone. */
@@ -118,6 +148,11 @@
         }
     }
 
+    /** True if this node has or had the request with this id, as far as it remembers. */
+    public boolean knowsOf(String id) {
+        return exchanges.containsKey(id) || finished.contains(id);
+    }
+
     /** A worker's word on a job; false: it fits no attempt that is out, is old or unknown, and ignored. */
     public boolean news(News news) {
         Exchange exchange = exchanges.get(news.id());
@@ -155,12 +190,60 @@
 
     /** News of the worker list. */
     public void members(Dispatcher.News news, List<Member> entries) {
+        tell(news, maintenance.over(news, entries));
+    }
+
+    private void tell(Dispatcher.News news, List<Member> entries) {
         // Known at once, not with the next batch: the drain rule counts from the telling.
         members.update(news, entries);
         List<Worker> told = entries.stream().map(Member::worker).toList();
         offer(() -> module.members(clock.now(), news, told));
     }
 
+    /**
+     * Operators put a worker in maintenance: from now on it is told to the decisions as one that drains, whatever
+     * the list says, until {@link #giveBack}. False: nobody has that name.
+     */
+    public boolean takeOut(String name) {
+        if (!maintenance.knows(name)) {
+            return false;
+        }
+        Member entry = maintenance.take(name);
+        if (entry != null) {
+            tell(Dispatcher.News.CHANGES, List.of(entry));
+        }
+        return true;
+    }
+
+    /** Operators take a worker back from maintenance; it returns cold. False: nobody has that name. */
+    public boolean giveBack(String name) {
+        if (!maintenance.knows(name)) {
+            return false;
+        }
+        Member entry = maintenance.giveBack(name, clock.now());
+        if (entry != null) {
+            tell(Dispatcher.News.CHANGES, List.of(entry));
+        }
+        return true;
+    }
+
+    /** What is in maintenance, for a later process to take over. */
+    public Maintenance.Saved maintenanceSaved() {
+        return maintenance.saved();
+    }
+
+    /** Takes over the maintenance that an earlier process saved. */
+    public void restoreMaintenance(Maintenance.Saved saved) {
+        maintenance.restore(saved);
+    }
+
+    /** The figures for operators, as they stand now. */
+    public Figures.Snapshot figures() {
+        int inFlight = (int) exchanges.values().stream().filter(exchange -> !exchange.over()).count();
+        return figures.snapshot(inFlight, maintenance.listedAll(),
+                maintenance.listedOut() + module.excluded(clock.now()));
+    }
+
     /** The worker list could not be had; the last one stays. */
     public void listFailed() {
         offer(() -> module.listFailed(clock.now()));
@@ -307,6 +390,7 @@
         @Override
         public void written() {
             attempt.written = true;
+            figures.attempt();
         }
 
         @Override
