Share the peers' UDP address with the next process, so that an upgrade starts

Change: the peers' datagram socket is bound with SO_REUSEADDR, so that both processes send from the address that the peers know while they overlap. The start's log line says whether the socket was handed over and where operators call.

--- a/node/src/main/java/ferngrade/net/NodeServer.java
+++ b/node/src/main/java/ferngrade/net/NodeServer.java
@@ -107,7 +107,8 @@
             for (ChannelFuture bound : server.loop.submit(server::assemble).get()) {
                 bound.get();
             }
-            log.line("listening at " + server.address());
+            log.line("listening at " + server.address() + (platform.accepted() != null ? ", on the socket handed over" : "")
+                    + (config.admin() != null ? "; operators' calls at " + config.admin() : ""));
             return server;
         } catch (Exception failed) {
             server.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
--- a/node/src/main/java/ferngrade/net/UdpPeers.java
+++ b/node/src/main/java/ferngrade/net/UdpPeers.java
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
@@ -40,7 +41,10 @@
 
     /** Listens; what a known peer sends goes to {@code hearer} with the peer's number. */
     ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, BiConsumer<Integer, byte[]> hearer) {
+        // Shared for a while with the next process of this node, which an upgrade starts beside this one: both send
+        // from the address that the peers know.
         ChannelFuture bound = new Bootstrap().group(group).channel(NioDatagramChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
