Hand call-backs to the other process on a shared socket, and stop accepting on SIGTERM

While two processes share the clients' socket, the old one went on accepting after SIGTERM and refused every job that came after its grace (Front.finishing in FrontHandler.job), and the workers' call-backs, which come to the same socket, could reach the process that never had the job.

Rejected: answering such call-backs with 503 alone and hoping the worker's next try meets the other process; once the old one stops accepting, no try would.

--- a/node/src/main/java/ferngrade/net/Admin.java
+++ b/node/src/main/java/ferngrade/net/Admin.java
@@ -1,8 +1,10 @@
 package ferngrade.net;
 
 import ferngrade.config.MaintenanceCodec;
+import ferngrade.config.MemberReader;
 import ferngrade.node.Figures;
 import ferngrade.node.Log;
+import ferngrade.node.News;
 import ferngrade.node.Node;
 import ferngrade.node.StateFile;
 import ferngrade.node.Timers;
@@ -37,6 +39,7 @@
 
     private final Node node;
     private final Front front;
+    private final Sibling sibling;
     private final List<String> classes;
     private final StateFile state;
     private final Executor loop;
@@ -48,12 +51,13 @@
     private final Set<Channel> callers = new LinkedHashSet<>();
 
     /** What the operators' calls act on; {@code state} is null where nothing is to outlive the process. */
-    record Parts(Node node, Front front, List<String> classes, StateFile state, IntSupplier reloadsOk,
+    record Parts(Node node, Front front, Sibling sibling, List<String> classes, StateFile state, IntSupplier reloadsOk,
             IntSupplier reloadsFailed) { }
 
     Admin(Parts parts, Executor loop, Timers timers, Log log, int most) {
         this.node = parts.node();
         this.front = parts.front();
+        this.sibling = parts.sibling();
         this.classes = parts.classes();
         this.state = parts.state();
         this.reloadsOk = parts.reloadsOk();
@@ -98,6 +102,24 @@
         return node.ready() && front.takesClients();
     }
 
+    /**
+     * A call-back that the other process of this node got for a job of this one. True if this process has or had
+     * the job, and so took the news.
+     */
+    boolean news(String body) throws BadRequestException {
+        News news = NewsReader.read(body);
+        if (!node.knowsOf(news.id())) {
+            return false;
+        }
+        node.news(news);
+        return true;
+    }
+
+    /** The other process of this node says where it takes calls. */
+    void sibling(String address) {
+        sibling.at(MemberReader.address(address.trim()));
+    }
+
     void drain() {
         log.line("drained by operators");
         front.drainForOperators();
--- a/node/src/main/java/ferngrade/net/AdminHandler.java
+++ b/node/src/main/java/ferngrade/net/AdminHandler.java
@@ -74,10 +74,30 @@
                     answer(ctx, HttpResponseStatus.OK, "taking clients\n");
                 }
             }
+            case "/-/news", "/-/sibling" -> {
+                if (expect(ctx, method, HttpMethod.POST)) {
+                    fromSibling(ctx, path, call.content().toString(StandardCharsets.UTF_8));
+                }
+            }
             default -> worker(ctx, method, path);
         }
     }
 
+    /** Calls between two processes of this node on one clients' socket: a call-back handed on, or an address. */
+    private void fromSibling(ChannelHandlerContext ctx, String path, String body) {
+        try {
+            if (path.equals("/-/news")) {
+                boolean taken = admin.news(body);
+                answer(ctx, taken ? HttpResponseStatus.NO_CONTENT : HttpResponseStatus.NOT_FOUND, "");
+            } else {
+                admin.sibling(body);
+                answer(ctx, HttpResponseStatus.NO_CONTENT, "");
+            }
+        } catch (BadRequestException | IllegalArgumentException bad) {
+            answer(ctx, HttpResponseStatus.BAD_REQUEST, bad.getMessage() + "\n");
+        }
+    }
+
     /** {@code /-/menu-workers/ID/disable} or {@code .../enable}. */
     private void worker(ChannelHandlerContext ctx, HttpMethod method, String path) {
         int slash = path.lastIndexOf('/');
--- a/node/src/main/java/ferngrade/net/Front.java
+++ b/node/src/main/java/ferngrade/net/Front.java
@@ -36,6 +36,7 @@
     private static final int BACKLOG = 1024;
 
     private final Bounds bounds;
+    private final Sibling sibling;
     private final Clock clock;
     private final Timers timers;
     private final Set<FrontHandler> open = new LinkedHashSet<>();
@@ -49,7 +50,8 @@
     private Runnable whenDone;
     private int jobs;
 
-    Front(Bounds bounds, Clock clock, Timers timers) {
+    Front(Bounds bounds, Clock clock, Timers timers, Sibling sibling) {
+        this.sibling = sibling;
         this.bounds = bounds;
         this.clock = clock;
         this.timers = timers;
@@ -104,9 +106,20 @@
         return !draining && !drained;
     }
 
-    /** From here on every answer ends its connection; new ones are still accepted. */
+    /** The other process of this node, while two share the clients' socket. */
+    Sibling sibling() {
+        return sibling;
+    }
+
+    /**
+     * From here on every answer ends its connection. New ones are still accepted on a socket of its own; on one
+     * handed over, the next process has said yes and the platform holds the socket, so this one takes none.
+     */
     void drain() {
         draining = true;
+        if (inherited) {
+            listener.config().setAutoRead(false);
+        }
     }
 
     /**
--- a/node/src/main/java/ferngrade/net/FrontHandler.java
+++ b/node/src/main/java/ferngrade/net/FrontHandler.java
@@ -139,7 +139,8 @@
         } else if (!request.method().equals(HttpMethod.POST)) {
             error(HttpResponseStatus.METHOD_NOT_ALLOWED, "jobs come by POST");
         } else if (path.equals("/_jobs/news")) {
-            news(NewsReader.read(request.content().toString(StandardCharsets.UTF_8)));
+            String body = request.content().toString(StandardCharsets.UTF_8);
+            news(NewsReader.read(body), body);
         } else {
             job(request);
         }
@@ -147,12 +148,18 @@
 
     /**
      * A worker's call-back. On a socket that is handed from one process to the next, one for a job that this
-     * process never had may belong to the other one: it gets 503 and a close, so that the worker's next try comes
-     * on a new connection, which the other process may accept.
+     * process never had may belong to the other one, and is handed on to it. Where that cannot be done it gets 503
+     * and a close, so that the worker's next try comes on a new connection, which the other process may accept.
      */
-    private void news(ferngrade.node.News news) {
+    private void news(ferngrade.node.News news, String body) {
         if (front.inherited() && !node.knowsOf(news.id())) {
-            error(HttpResponseStatus.SERVICE_UNAVAILABLE, "no such job here");
+            front.sibling().relay(body, status -> {
+                if (status < 0) {
+                    error(HttpResponseStatus.SERVICE_UNAVAILABLE, "no such job here");
+                } else {
+                    answer(HttpResponseStatus.NO_CONTENT, "");
+                }
+            });
             return;
         }
         proven |= node.news(news);
--- a/node/src/main/java/ferngrade/net/NodeServer.java
+++ b/node/src/main/java/ferngrade/net/NodeServer.java
@@ -6,6 +6,7 @@
 import ferngrade.Dispatcher.JobClass;
 import ferngrade.Dispatcher.News;
 import ferngrade.config.MaintenanceCodec;
+import ferngrade.config.MemberReader;
 import ferngrade.config.NodeConfig;
 import ferngrade.node.Clock;
 import ferngrade.node.Log;
@@ -39,6 +40,8 @@
     private static final int CALLERS = 8;
     /** The file in the platform's temporary folder that passes maintenance on to the next process. */
     private static final String MAINTENANCE_FILE = "ferngrade-maintenance.json";
+    /** The file in that folder that says where the newest process of this node takes operators' calls. */
+    private static final String ADMIN_FILE = "ferngrade-admin.txt";
 
     private final NodeConfig config;
     private final Platform platform;
@@ -50,6 +53,7 @@
     private final Timers timers;
     private final Bounds bounds;
     private final Front front;
+    private final Sibling sibling;
     private Discovery discovery;
     private final CountDownLatch finished = new CountDownLatch(1);
     private io.netty.channel.Channel adminChannel;
@@ -75,7 +79,8 @@
         this.timers = new Timers(clock, (millis, run) ->
                 loop.schedule(run, (long) Math.ceil(millis * 1000), TimeUnit.MICROSECONDS));
         this.bounds = Bounds.within(config.sockets(), config.memoryMb());
-        this.front = new Front(bounds, clock, timers);
+        this.sibling = new Sibling(group, timers, log, null);
+        this.front = new Front(bounds, clock, timers, sibling);
     }
 
     /** Starts the decisions of a node, which ask for what they want done by these actions. */
@@ -142,11 +147,23 @@
                 log));
         if (config.admin() != null) {
             List<String> classes = config.settings().classes().stream().map(JobClass::name).toList();
-            Admin admin = new Admin(new Admin.Parts(node, front, classes, state, () -> reloadsOk, () -> reloadsFailed),
+            Admin admin = new Admin(new Admin.Parts(node, front, sibling, classes, state, () -> reloadsOk,
+                    () -> reloadsFailed),
                     loop, timers, log, CALLERS);
             ChannelFuture listening = admin.listen(group, config.admin());
             adminChannel = listening.channel();
             bound.add(listening);
+            if (platform.state() != null && platform.accepted() != null) {
+                StateFile here = new StateFile(platform.state().resolve(ADMIN_FILE));
+                findSibling(here);
+                listening.addListener(done -> {
+                    if (done.isSuccess()) {
+                        InetSocketAddress own = adminAddress();
+                        here.write(own.getHostString() + ":" + own.getPort(), failed -> { });
+                        sibling.announce(own);
+                    }
+                });
+            }
         }
         discovery = new Discovery((address, whenListed) ->
                 new DiscoveryWatch(group, address, config.memberReader(), node, timers, log, whenListed));
@@ -154,6 +171,21 @@
         return bound;
     }
 
+    /**
+     * Reads where an earlier process of this node takes calls, before this one says where it does; that process
+     * may still run beside this one on the clients' socket.
+     */
+    private void findSibling(StateFile here) {
+        try {
+            String earlier = here.read();
+            if (earlier != null) {
+                sibling.at(MemberReader.address(earlier.trim()));
+            }
+        } catch (IOException | IllegalArgumentException unusable) {
+            log.line("the address of an earlier process is left aside: " + unusable.getMessage());
+        }
+    }
+
     /**
      * Takes over the maintenance that an earlier process of this node left. What cannot be read, a torn or foreign
      * file among others, is said in the log and left aside: the node starts without it.
