Count final answers in the exchange, and make the sibling exist only on a handed socket

Cause or need: re-reading the change showed a Reply wrapper allocated for every request only to count its final answer, beside the Exchange that already gives that answer once; and a Sibling object made in every process, also where no socket is shared, which the architecture asks to be no object at all. One hard case, a resume before the drain has settled, had no test.

Change: Exchange counts served, refused and failed where it closes; the wrapper is gone. Sibling is made only where the clients' socket was handed over, and Front's separate 'inherited' query gives way to it; /-/sibling says no (404) to a process on a socket of its own. A story drains and resumes at once and then sees a job answered on a kept connection. The tests share one body for a call-back nobody knows.

--- a/node/src/main/java/ferngrade/net/Admin.java
+++ b/node/src/main/java/ferngrade/net/Admin.java
@@ -115,9 +115,13 @@
         return true;
     }
 
-    /** The other process of this node says where it takes calls. */
-    void sibling(String address) {
+    /** The other process of this node says where it takes calls; false where this one has its own socket. */
+    boolean sibling(String address) {
+        if (sibling == null) {
+            return false;
+        }
         sibling.at(MemberReader.address(address.trim()));
+        return true;
     }
 
     void drain() {
--- a/node/src/main/java/ferngrade/net/AdminHandler.java
+++ b/node/src/main/java/ferngrade/net/AdminHandler.java
@@ -90,8 +90,8 @@
                 boolean taken = admin.news(body);
                 answer(ctx, taken ? HttpResponseStatus.NO_CONTENT : HttpResponseStatus.NOT_FOUND, "");
             } else {
-                admin.sibling(body);
-                answer(ctx, HttpResponseStatus.NO_CONTENT, "");
+                boolean shared = admin.sibling(body);
+                answer(ctx, shared ? HttpResponseStatus.NO_CONTENT : HttpResponseStatus.NOT_FOUND, "");
             }
         } catch (BadRequestException | IllegalArgumentException bad) {
             answer(ctx, HttpResponseStatus.BAD_REQUEST, bad.getMessage() + "\n");
--- a/node/src/main/java/ferngrade/net/Front.java
+++ b/node/src/main/java/ferngrade/net/Front.java
@@ -96,17 +96,12 @@
         return draining || drained;
     }
 
-    /** True if the socket was handed to this process, and so may be shared with another one at times. */
-    boolean inherited() {
-        return inherited;
-    }
-
     /** True unless the node stops or operators have drained it; the client front then sends no one new. */
     boolean takesClients() {
         return !draining && !drained;
     }
 
-    /** The other process of this node, while two share the clients' socket. */
+    /** The other process of this node, while two share the clients' socket; null where the socket is its own. */
     Sibling sibling() {
         return sibling;
     }
--- a/node/src/main/java/ferngrade/net/FrontHandler.java
+++ b/node/src/main/java/ferngrade/net/FrontHandler.java
@@ -152,7 +152,7 @@
      * and a close, so that the worker's next try comes on a new connection, which the other process may accept.
      */
     private void news(ferngrade.node.News news, String body) {
-        if (front.inherited() && !node.knowsOf(news.id())) {
+        if (front.sibling() != null && !node.knowsOf(news.id())) {
             front.sibling().relay(body, status -> {
                 if (status < 0) {
                     error(HttpResponseStatus.SERVICE_UNAVAILABLE, "no such job here");
--- a/node/src/main/java/ferngrade/net/NodeServer.java
+++ b/node/src/main/java/ferngrade/net/NodeServer.java
@@ -79,7 +79,8 @@
         this.timers = new Timers(clock, (millis, run) ->
                 loop.schedule(run, (long) Math.ceil(millis * 1000), TimeUnit.MICROSECONDS));
         this.bounds = Bounds.within(config.sockets(), config.memoryMb());
-        this.sibling = new Sibling(group, timers, log, null);
+        // Only a process on a handed socket can have another beside it.
+        this.sibling = platform.accepted() == null ? null : new Sibling(group, timers, log, null);
         this.front = new Front(bounds, clock, timers, sibling);
     }
 
@@ -153,7 +154,7 @@
             ChannelFuture listening = admin.listen(group, config.admin());
             adminChannel = listening.channel();
             bound.add(listening);
-            if (platform.state() != null && platform.accepted() != null) {
+            if (platform.state() != null && sibling != null) {
                 StateFile here = new StateFile(platform.state().resolve(ADMIN_FILE));
                 findSibling(here);
                 listening.addListener(done -> {
--- a/node/src/main/java/ferngrade/node/Exchange.java
+++ b/node/src/main/java/ferngrade/node/Exchange.java
@@ -12,12 +12,15 @@
     int out;
     Timers.Timer guard;
     private final Reply reply;
+    private final Figures figures;
     private boolean over;
 
-    Exchange(Job job, Call call, Reply reply) {
+    /** The final answer goes to {@code reply}, and is counted in {@code figures}. */
+    Exchange(Job job, Call call, Reply reply, Figures figures) {
         this.job = job;
         this.call = call;
         this.reply = reply;
+        this.figures = figures;
     }
 
     boolean over() {
@@ -33,12 +36,14 @@
 
     void served(String result) {
         if (close()) {
+            figures.served(job.jobClass());
             reply.served(result);
         }
     }
 
     void refused(double retryAfter) {
         if (close()) {
+            figures.refused(job.jobClass());
             reply.refused(retryAfter);
         }
     }
@@ -47,6 +52,7 @@
     boolean failed() {
         boolean first = close();
         if (first) {
+            figures.failed(job.jobClass());
             reply.failed();
         }
         return first;
--- a/node/src/main/java/ferngrade/node/Node.java
+++ b/node/src/main/java/ferngrade/node/Node.java
@@ -95,7 +95,7 @@
             refuseForRoom(job, reply);
             return true;
         }
-        Exchange exchange = new Exchange(job, call, counted(job.jobClass(), reply));
+        Exchange exchange = new Exchange(job, call, reply, figures);
         exchanges.put(job.id(), exchange);
         bytes += call.body().length;
         exchange.guard = timers.after(job.due() - clock.now() + GUARD, () -> overdue(exchange));
@@ -114,27 +114,6 @@
         reply.refused(retryAfter);
     }
 
-    private Reply counted(int jobClass, Reply reply) {
-        return new Reply() {
-            @Override
-            public void served(String result) {
-                figures.served(jobClass);
-                reply.served(result);
-            }
-
-            @Override
-            public void refused(double retryAfter) {
-                figures.refused(jobClass);
-                reply.refused(retryAfter);
-            }
-
-            @Override
-            public void failed() {
-                figures.failed(jobClass);
-                reply.failed();
-            }
-        };
-    }
 
     /** The client of this request has gone. */
     public void clientGone(String id) {
--- a/node/src/test/java/ferngrade/net/AdminStoriesTest.java
+++ b/node/src/test/java/ferngrade/net/AdminStoriesTest.java
@@ -28,6 +28,7 @@
 /** Stories of operators' calls to a whole node on loopback sockets. */
 @Test(timeOut = 30_000)
 public class AdminStoriesTest {
+    private static final String UNKNOWN_NEWS = "{\"id\":\"nobody\",\"from\":\"s-1\",\"state\":\"done\",\"result\":\"x\"}";
     private ServerSocket worker;
     private ServerSocket discovery;
     private final List<NodeServer> nodes = new ArrayList<>();
@@ -138,6 +139,25 @@
         }
     }
 
+    @Test
+    public void resumeBeforeTheDrainHasSettledKeepsConnectionsAgain() throws Exception {
+        NodeServer node = start(NodeServer.Platform.NONE);
+        try (RawHttp client = RawHttp.to(node.address())) {
+            assertEquals(call(node, "POST /-/drain").status(), 200);
+            assertEquals(call(node, "POST /-/resume").status(), 200);
+            assertEquals(call(node, "GET /-/ready").status(), 200);
+            client.write(RawHttp.message(job("a"), ""));
+            RawHttp worked = new RawHttp(worker.accept());
+            worked.read();
+            worked.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(callBack(node.address(), "a"), 204);
+            Message answer = client.read();
+            assertEquals(answer.status(), 200);
+            assertNull(answer.headers().get("Connection"));
+            assertEquals(client.write("GET /-/ready HTTP/1.1\r\n\r\n").read().status(), 200);
+        }
+    }
+
     @Test
     public void maintenancePassesToTheNextProcessOnTheSocketHandedOver() throws Exception {
         Path folder = Files.createTempDirectory("handover");
@@ -152,8 +172,7 @@
         assertEquals(callBack(next.address(), "nobody"), 204);
         // The other process says no to one that it did not have.
         try (RawHttp caller = RawHttp.to(old.adminAddress())) {
-            String body = "{\"id\":\"nobody\",\"from\":\"s-1\",\"state\":\"done\",\"result\":\"x\"}";
-            assertEquals(caller.write(RawHttp.message("POST /-/news HTTP/1.1", body)).read().status(), 404);
+            assertEquals(caller.write(RawHttp.message("POST /-/news HTTP/1.1", UNKNOWN_NEWS)).read().status(), 404);
         }
     }
 
@@ -169,8 +188,7 @@
                 InetAddress.getLoopbackAddress(), 0));
         NodeServer node = start(new NodeServer.Platform(clients, folder));
         try (RawHttp caller = RawHttp.to(node.address())) {
-            String body = "{\"id\":\"nobody\",\"from\":\"s-1\",\"state\":\"done\",\"result\":\"x\"}";
-            Message answer = caller.write(RawHttp.message("POST /_jobs/news HTTP/1.1", body)).read();
+            Message answer = caller.write(RawHttp.message("POST /_jobs/news HTTP/1.1", UNKNOWN_NEWS)).read();
             assertEquals(answer.status(), 503);
             assertEquals(answer.headers().get("Connection"), "close");
         }
