Read the live weights of the worker list: waits and slices follow the fleet's own load

A build that logs the list lines showed that the zone had 45 of the 60 workers, that the 15 others held 3.2 jobs for each core at once, and that from 14 s on, with 60 ready, 24 to 34 % of the cores were busy while two in three tries were refused. The lines carry the load of every worker each 0.9 s, as size / (1 + jobs held for each core), and Choice never read it.

Ruled out: discovery (lists within 1 to 2 s of the loss), peers (emulated with 14 nodes the slices moved within a second), CPU (0.5 of 0.5 only at the start). At fault: growOrTrim, which knows only the late starts of a few jobs of its own, cuts 4 s after the loss and for queues that are gone; and coldAllows, which took what a worker carries at half load for all that it can do.

Where the list tells loads: a slice moves to the share of the fleet that this dispatcher's starts show, over the busy part of the workers that can be reached; a wait is the mean of the learned one and the told one; a job that would be late on the best worker is refused at once; the cold budget goes by a worker's size. The trim by late starts stays where no loads are told, without its eager growth.

--- a/decisions/src/main/java/ferngrade/Choice.java
+++ b/decisions/src/main/java/ferngrade/Choice.java
@@ -7,7 +7,6 @@
 import ferngrade.Notes.Request;
 import ferngrade.Notes.Share;
 import ferngrade.Notes.Zone;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -15,26 +14,34 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.DoubleConsumer;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
- * All decisions of one dispatcher. The interface, its types, events and actions, is {@link Dispatcher}. A
- * job passes, in this order: its tenant's level inside this dispatcher's slice of the slot budget, the pick
- * of a worker, and, when an attempt ends badly, the guard that says whether it may go out again. Nothing
- * here reads a clock; time comes with events.
+ * All decisions of one dispatcher. The interface, its types, events and actions, is {@link Dispatcher}. A job
+ * passes, in this order: its tenant's level inside this dispatcher's slice of the slot budget, the pick of a
+ * worker, and, when an attempt ends badly, the guard that says whether it may go out again. Nothing here
+ * reads a clock; time comes with events.
  */
 public final class Choice implements Dispatcher {
     // ---- Constants ----
 
-    /** Peers a dispatcher talks to at most; bounds messages and, through 1/(bound + 1), the step. */
-    private static final int PEERS = 6;
     /** Cycle of the budget, ms: several cycles fit into the shortest trouble that matters, a few seconds. */
     private static final double CYCLE = 500;
+    /** Weight of the newest cycle in a worker's starts a second, which one dispatcher sees few of. */
+    private static final double START_WEIGHT = 0.15;
+    /** Cycles before a dispatcher that has just started takes its own starts for its share. */
+    private static final int STARTS_FROM = 4;
+    /** A slice is at most so many times its share of what the fleet can do; it could never grow otherwise. */
+    private static final double AMPLE = 1.75;
+    /** What is taken off that where every worker has a job waiting for each core; more count no more. */
+    private static final double TIGHT = 0.55;
+    /** How far a slice moves to its share in a cycle; all the way it would swing with each list. */
+    private static final double SETTLE = 0.6;
+    /** Ms in which the list comes to show a job sent; the wait that a load without any queue counts as. */
+    private static final double RECENT = 1000;
+    private static final double LOAD_WAIT = 0.1;
     /** Share by which a slice in demand grows in a cycle: back from a half in 2 s. */
     private static final double GROW = 0.2;
-    /** How much faster it grows where jobs start without any wait: from a third in a second and a half. */
-    private static final double EAGER = 1;
     /** Cut of a slice, times the refused share of its attempts: it settles where a twentieth is refused. */
     private static final double TRIM = 4;
     /** The least that one cut leaves: the refusals of one burst must not stop a dispatcher. */
@@ -54,11 +61,8 @@
     private static final int FRESH_CYCLES = 3;
     /** Seconds of its level that a tenant may have saved up. */
     private static final double BURST_S = 0.25;
-    /**
-     * Workers looked at for a job in its own zone, and as many elsewhere; fleets up to this size are
-     * scanned whole.
-     */
-    private static final int SCAN = 4;
+    /** Workers looked at for a job in its own zone, and as many elsewhere; of fewer, all. */
+    private static final int SCAN = 8;
     /** Share of its spare time from which on a job's wait counts as a refusal: queues have begun to build. */
     private static final double LATE = 0.75;
     /** Share of its spare time after which a job that has not started is tried elsewhere too. */
@@ -77,10 +81,7 @@
     private static final double FULL_WAIT = 3;
     /** Weight of one outcome in a learned mean. */
     private static final double LEARN = 0.1;
-    /**
-     * A zone's charge as a delay: charge x aim x this; half of the jobs in time are lost over about half an
-     * aim.
-     */
+    /** A zone's charge as a delay: charge x aim x this; half the jobs in time are lost over half an aim. */
     private static final double CHARGE_DELAY = 2;
     /** Share that a tenant with none counts as having, so that it gets what nobody else wants. */
     private static final double LEAST_SHARE = 1e-6;
@@ -98,11 +99,8 @@
     private static final int SILENT_SENDS = 4;
     /** Silence of a zone, ms on top of a mean service time. */
     private static final double SILENCE = 100;
-    /**
-     * Share of the cold budget that is used, half of it because two budget windows can touch one window of
-     * the rule.
-     */
-    private static final double COLD_SHARE = 0.4;
+    /** Share of the cold budget that is used, under half: two windows can touch one window of the rule. */
+    private static final double COLD_SHARE = 0.35;
 
     private static final long CYCLE_TOKEN = 1;
     private static final long WATCH_TOKEN = 2;
@@ -115,7 +113,7 @@
     private final Map<String, Request> requests = new HashMap<>();
     private List<Node> local = new ArrayList<>();
     private List<Node> remote = new ArrayList<>();
-    private final List<Zone> zones = new ArrayList<>();
+    private final Map<Integer, Zone> zones = new HashMap<>();
     private final double[] classService;
     private double service = 100;
     private boolean serviceKnown;
@@ -132,7 +130,7 @@
             double share = settings.tenants().isEmpty() ? 1 : settings.tenants().get(i).share();
             shares.add(new Share(Math.max(share, LEAST_SHARE)));
         }
-        this.peers = peers(settings.me(), settings.dispatchers());
+        this.peers = PeerGraph.links(settings.me(), settings.dispatchers());
         actions.timer(random.nextDouble() * CYCLE, CYCLE_TOKEN);
         if (settings.asks()) {
             actions.timer(1 + 2000.0 * settings.me() / settings.dispatchers(), WATCH_TOKEN);
@@ -151,12 +149,12 @@
     private double crowding;
     private double lastCut = Double.NEGATIVE_INFINITY;
     private double accepted;
-    private int starts;
-    private double waited;
     private double sentMean;
     private double refusedMean;
     private double acceptedMean;
     private int cycle;
+    private boolean loads;
+    private int warm;
     private double lastOver;
     private final int[] peers;
     private final Map<Integer, Peer> heard = new HashMap<>();
@@ -171,48 +169,69 @@
             share.demand += (cycle == 1 ? 1 : DEMAND_WEIGHT) * (share.asked / seconds - share.demand);
             share.asked = 0;
         }
-        growOrTrim(seconds);
+        double share = fleetShare(seconds, now);
+        if (loads) {
+            slice = Math.max(FLOOR, slice + SETTLE * (share - slice));
+        } else {
+            growOrTrim(seconds);
+        }
         crowding += DEMAND_WEIGHT / 2 * ((sent == 0 ? 0 : (double) full / sent) - crowding);
         if (settings.limits().peers() && peers.length > 0) {
             slice = Math.max(FLOOR, slice + peerStep());
             tellPeers();
         }
         setLevels();
-        zones.forEach(zone -> zone.groups.forEach(group -> countDone(group, seconds)));
-        local.stream().filter(node -> !cold(node, now)).forEach(node -> group(node).workers++);
-        remote.stream().filter(node -> !cold(node, now)).forEach(node -> group(node).workers++);
         asked = 0;
         sent = 0;
         accepted = 0;
         full = 0;
         refused = 0;
-        starts = 0;
-        waited = 0;
         actions.timer(CYCLE, CYCLE_TOKEN);
     }
 
-    private static void countDone(Group group, double seconds) {
-        group.rate += LEARN * (group.done / seconds - group.rate);
-        group.done = 0;
-        group.workers = 0;
-    }
-
     /** The slots a second that this dispatcher may start. */
     public double slice() {
         return slice;
     }
 
+    /**
+     * The slots a second that this dispatcher may start, by the load of each worker over all dispatchers,
+     * where the list tells it: its own starts over the busy part of the workers that can be reached is its
+     * share of what these can do. All see the same loads, so the sum follows a lost zone or a release without
+     * a word.
+     */
+    private double fleetShare(double seconds, double now) {
+        double size = 0;
+        double busy = 0;
+        double queued = 0;
+        double rate = 0;
+        warm = 0;
+        for (Node node : nodes.values()) {
+            node.startRate += START_WEIGHT * (node.starts / seconds - node.startRate);
+            node.starts = 0;
+            boolean ready = node.told && node.entry.state() == State.READY;
+            if (ready && node.ejectedUntil <= now && !silent(zone(node.entry.zone()), now)) {
+                double capacity = group(node).size * (cold(node, now) ? warmth(node, now) : 1);
+                size += capacity;
+                busy += capacity * Math.min(1, node.load);
+                queued += capacity * Math.max(0, Math.min(2, node.load) - 1);
+                rate += node.startRate;
+            }
+            warm += ready && !cold(node, now) ? 1 : 0;
+        }
+        loads = settings.liveWeights() && cycle >= STARTS_FROM && busy > 0.05 * size;
+        return rate / (1 - Math.pow(1 - START_WEIGHT, cycle)) * size / busy * (AMPLE - TIGHT * queued / size);
+    }
+
     private void growOrTrim(double seconds) {
         sentMean += COUNT_WEIGHT * (sent - sentMean);
         refusedMean += COUNT_WEIGHT * (refused - refusedMean);
         acceptedMean += COUNT_WEIGHT * (accepted / seconds - acceptedMean);
         double bad = refusedMean == 0 ? 0 : refusedMean / Math.max(sentMean, refusedMean);
         double most = SLACK * demand + FLOOR;
-        // Where jobs start at once there is room for more; less, the nearer their waits come to being late.
-        double ease = starts == 0 ? 0 : Math.max(0, 1 - waited / starts);
-        double change = GROW * (1 + EAGER * ease) - TRIM * bad;
-        // The start is generous until a first cut shows a limit. A dispatcher that waits for its clients
-        // sees no demand for some cycles; growing from the floor then refuses them on an idle fleet.
+        double change = GROW - TRIM * bad;
+        // The start is generous until a first cut shows a limit. A dispatcher that waits for its clients sees
+        // no demand for some cycles; growing from the floor then refuses them on an idle fleet.
         if (Double.isNaN(slice) || change >= 0 && lastCut == Double.NEGATIVE_INFINITY) {
             slice = Double.isNaN(slice) ? most : Math.max(most, slice);
         }
@@ -341,6 +360,7 @@
         }
         Request request = new Request(job, settings.classes().get(job.jobClass()));
         requests.put(job.id(), request);
+        meanWork += LEARN * (norm(request) * job.slots() - meanWork);
         if (admit(job, now)) {
             next(request, now);
         } else {
@@ -407,6 +427,7 @@
     }
 
     private double heldSlots;
+    private double meanWork = 1000;
 
     private void send(Request request, Node node, double now) {
         Attempt attempt = new Attempt(node, now);
@@ -414,6 +435,8 @@
         request.out++;
         node.held += request.job.slots();
         heldSlots += request.job.slots();
+        node.recent = recent(node, now) + request.job.slots();
+        node.recentAt = now;
         sent++;
         if (request.attempts.size() == 1) {
             moves = Math.min(MOVES_SAVED, moves + MOVE_SHARE);
@@ -575,22 +598,35 @@
         if (!attempt.late && attempt.sentAt >= lastCut) {
             accepted += request.job.slots();
         }
-        if (!Double.isNaN(attempt.startedAt)) {
-            starts++;
-            waited += (attempt.startedAt - attempt.sentAt) / lateAfter(request, attempt.node);
-        }
+        attempt.node.starts += request.job.slots();
     }
 
     private void learnWait(Node node, double wait, double now) {
-        double expected = expectedWait(node, now);
+        double expected = seenWait(node, now);
         node.wait = expected + WAIT_WEIGHT * (wait - expected);
         node.waitAt = now;
         Group group = group(node);
         group.wait += LEARN * (wait - group.wait);
     }
 
-    /** What was seen of this worker fades into what its group shows. */
+    /** Between what was seen here, little and late in a large tier, and the load that the list tells. */
     private double expectedWait(Node node, double now) {
+        return loads ? (seenWait(node, now) + toldWait(node, now)) / 2 : seenWait(node, now);
+    }
+
+    /** The wait by the jobs that the list tells for each core, and those sent that it cannot show yet. */
+    private double toldWait(Node node, double now) {
+        double slowness = group(node).slowness;
+        double load = node.load + recent(node, now) / Math.max(1, group(node).size * slowness);
+        return (Math.max(0, load - 1) + LOAD_WAIT * load) * service * slowness;
+    }
+
+    private static double recent(Node node, double now) {
+        return node.recent * Math.exp((node.recentAt - now) / RECENT);
+    }
+
+    /** What was seen of this worker fades into what its group shows. */
+    private double seenWait(Node node, double now) {
         double mean = group(node).wait;
         return mean + (node.wait - mean) * Math.exp((node.waitAt - now) / WAIT_MEMORY);
     }
@@ -616,7 +652,6 @@
                 node.ejection = 0;
                 unshun(node, request);
                 node.proven = true;
-                group(node).done++;
                 if (Double.isNaN(attempt.startedAt)) {
                     countStart(request, attempt);
                 }
@@ -697,8 +732,8 @@
     }
 
     /**
-     * A worker that fails fast looks idle and would draw every job: it is left out, longer each time it
-     * fails a trial.
+     * A worker that fails fast looks idle and would draw every job: it is left out, longer each time it fails
+     * a trial.
      */
     private void eject(Node node, double now) {
         long out = nodes.values().stream().filter(each -> each.told && each.ejectedUntil > now).count();
@@ -711,12 +746,12 @@
 
     // ---- Retries and answers: one guard for every further attempt and every refusal ----
 
-    /** True if the attempt is out, or ended in a way that does not prove that the job never ran. */
     @Override
     public int excluded(double now) {
         return (int) Stream.concat(local.stream(), remote.stream()).filter(n -> n.ejectedUntil > now).count();
     }
 
+    /** True if the attempt is out, or ended in a way that does not prove that the job never ran. */
     private static boolean mayHaveRun(Attempt attempt) {
         return attempt.outcome == null || !attempt.outcome.neverRan;
     }
@@ -765,8 +800,7 @@
     /** Rules that no wish for a better pick may bend: kind, key group, drain and cold start. */
     private boolean permitted(Request request, Attempt bound, Node node, double now) {
         int kind = request.jobClass.kind();
-        return node.entry.state() == State.READY
-                && (kind < 0 || kind == node.entry.kind())
+        return node.entry.state() == State.READY && (kind < 0 || kind == node.entry.kind())
                 && (bound == null || sameGroup(bound, node, request.jobClass.scope()))
                 && coldAllows(node, request.job.slots(), now);
     }
@@ -776,7 +810,9 @@
         Share share = shares.get(Math.min(request.job.tenant(), shares.size() - 1));
         boolean excess = share.demand > share.level && !request.attempts.isEmpty();
         Node node = !excess && maySend(request, now) ? pick(request, now) : null;
-        if (node != null) {
+        // Where the best worker would run it too late, it would only keep later ones from being in time.
+        boolean first = request.attempts.isEmpty();
+        if (node != null && !(loads && first && toldWait(node, now) > lateAfter(request, node))) {
             send(request, node, now);
         } else if (request.out == 0) {
             answer(request, service);
@@ -864,6 +900,9 @@
             }
             node.entry = entry;
             node.told = entry.state() != State.GONE;
+            Group group = group(node);
+            group.size = Math.max(group.size, entry.weight());
+            node.load = entry.weight() > 0 ? group.size / entry.weight() - 1 : 0;
         }
         rebuild();
     }
@@ -882,18 +921,11 @@
     }
 
     private Zone zone(int index) {
-        while (zones.size() <= index) {
-            zones.add(new Zone());
-        }
-        return zones.get(index);
+        return zones.computeIfAbsent(index, key -> new Zone());
     }
 
     private Group group(Node node) {
-        List<Group> groups = zone(node.entry.zone()).groups;
-        while (groups.size() <= node.entry.kind()) {
-            groups.add(new Group());
-        }
-        return groups.get(node.entry.kind());
+        return zone(node.entry.zone()).groups.computeIfAbsent(node.entry.kind(), key -> new Group());
     }
 
     private boolean cold(Node node, double now) {
@@ -908,17 +940,16 @@
     /**
      * A cold worker falls over from what all dispatchers send it together. Its budget for a window is split
      * among them; where it holds fewer jobs than there are dispatchers, only some may send, others in the
-     * next window. The windows count from the worker's start, so that all dispatchers agree on them without
-     * a word.
+     * next window. The windows count from the worker's start, so that all dispatchers agree on them without a
+     * word.
      */
     private boolean coldAllows(Node node, double slots, double now) {
         if (!cold(node, now)) {
             return true;
         }
         ColdRule rule = settings.cold();
-        double age = (now - node.entry.startedAt()) / rule.coldMs();
-        double capacity = rule.startCapacity() + (1 - rule.startCapacity()) * Math.max(0, age);
-        double budget = COLD_SHARE * rule.fallMultiple() * capacity * carried(node) * rule.tipMs() / 1000;
+        double capacity = warmth(node, now) * carried(node);
+        double budget = COLD_SHARE * rule.fallMultiple() * capacity * rule.tipMs() / 1000;
         long window = coldWindow(node, now);
         double used = window == node.coldWindow ? node.coldSent : 0;
         double each = budget / settings.dispatchers();
@@ -930,6 +961,12 @@
         return used + slots <= each;
     }
 
+    /** The share of its capacity that a worker of this age has at the least. */
+    private double warmth(Node node, double now) {
+        double age = Math.max(0, now - node.entry.startedAt()) / settings.cold().coldMs();
+        return settings.cold().startCapacity() + (1 - settings.cold().startCapacity()) * Math.min(1, age);
+    }
+
     private void countCold(Node node, double slots, double now) {
         if (cold(node, now)) {
             long window = coldWindow(node, now);
@@ -939,19 +976,12 @@
     }
 
     /**
-     * Jobs a second that a worker of this one's kind carries, all dispatchers together, as far as this one
-     * sees.
+     * Jobs a second that a worker of this one's kind carries, all dispatchers together: by its size, where
+     * the list tells that, else what this one sees of the warm workers, and less where the kind is slow.
      */
     private double carried(Node node) {
-        double rate = 0;
-        int workers = 0;
-        for (Zone zone : zones) {
-            if (node.entry.kind() < zone.groups.size()) {
-                rate += zone.groups.get(node.entry.kind()).rate;
-                workers += zone.groups.get(node.entry.kind()).workers;
-            }
-        }
-        return workers == 0 ? 0 : rate * settings.dispatchers() / workers;
+        double mean = warm == 0 ? 0 : acceptedMean * settings.dispatchers() / warm;
+        return loads ? group(node).size * 1000 / meanWork : mean / Math.max(1, group(node).slowness);
     }
 
     @Override
@@ -988,52 +1018,22 @@
         }
     }
 
-    // ---- Peers: a ring with spread chords, so that slack crosses a large tier in few steps ----
-
-    private static int[] peers(int me, int dispatchers) {
-        if (dispatchers <= PEERS + 1) {
-            return IntStream.range(0, dispatchers).filter(peer -> peer != me).toArray();
-        }
-        int[] links = new int[PEERS];
-        int chords = PEERS / 2;
-        for (int i = 0; i < chords; i++) {
-            int reach = (int) Math.round(Math.pow(dispatchers / 2.0, (double) i / chords));
-            links[2 * i] = Math.floorMod(me + reach, dispatchers);
-            links[2 * i + 1] = Math.floorMod(me - reach, dispatchers);
-        }
-        return Arrays.stream(links).sorted().distinct().toArray();
-    }
+    // ---- Peers ----
 
     private void tellPeers() {
         lastOver = wanted() - slice;
-        ByteBuffer body = ByteBuffer.allocate(12 + 4 * shares.size());
-        body.putInt(cycle).putFloat((float) slice).putFloat((float) lastOver);
-        for (Share share : shares) {
-            body.putFloat((float) share.demand);
-        }
+        byte[] message = PeerMessage.write(cycle, slice, lastOver, demands());
         for (int peer : peers) {
-            actions.tell(peer, body.array());
+            actions.tell(peer, message);
         }
     }
 
     /** Takes a peer's message in; one that is not of our making is ignored. */
     @Override
     public void heard(double now, int from, byte[] message) {
-        if (message.length != 12 + 4 * shares.size() || Arrays.binarySearch(peers, from) < 0) {
-            return;
-        }
-        ByteBuffer body = ByteBuffer.wrap(message, 4, message.length - 4);
-        Peer peer = new Peer();
-        peer.at = cycle;
-        peer.slice = body.getFloat();
-        peer.over = body.getFloat();
-        peer.demands = new double[shares.size()];
-        double sum = peer.slice + peer.over;
-        for (int i = 0; i < peer.demands.length; i++) {
-            peer.demands[i] = Math.max(0, body.getFloat());
-            sum += peer.demands[i];
-        }
-        if (Double.isFinite(sum)) {
+        Peer peer = Arrays.binarySearch(peers, from) < 0 ? null : PeerMessage.read(message, shares.size());
+        if (peer != null) {
+            peer.at = cycle;
             heard.put(from, peer);
         }
     }
--- a/decisions/src/main/java/ferngrade/Dispatcher.java
+++ b/decisions/src/main/java/ferngrade/Dispatcher.java
@@ -202,12 +202,12 @@
      * What a dispatcher is told at its start: its number among the {@code dispatchers}, its own zone, the
      * time between batches of events, the classes and tenants, and what the deployment permits. {@code
      * asks}: the worker list comes only to those that {@link Actions#watch watch} it. {@code tellsStart}:
-     * workers report the start of each job. {@code sizedWeights}: the list's weights are the workers' sizes.
-     * {@code crossCharge}: the share of a request's worth that crossing zones costs.
+     * workers report the start of each job. {@code liveWeights}: the list's weights are the workers' sizes,
+     * each divided by 1 + the jobs that it holds for each core. {@code crossCharge}: the share of a request's worth that crossing zones costs.
      */
     record Settings(int me, int dispatchers, int zone, double roundMs, List<JobClass> classes,
             List<Tenant> tenants, Limits limits, ColdRule cold, boolean asks, boolean tellsStart,
-            boolean sizedWeights, double crossCharge) {
+            boolean liveWeights, double crossCharge) {
         public Settings {
             Check.that(dispatchers >= 1, "Settings.dispatchers", dispatchers);
             Check.that(me >= 0 && me < dispatchers, "Settings.me", me);
--- a/decisions/src/main/java/ferngrade/Notes.java
+++ b/decisions/src/main/java/ferngrade/Notes.java
@@ -5,7 +5,9 @@
 import ferngrade.Dispatcher.Outcome;
 import ferngrade.Dispatcher.Worker;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** What one dispatcher keeps note of: data only, every decision over it is {@link Choice}'s. */
 final class Notes {
@@ -32,6 +34,14 @@
         double heardAt = Double.NEGATIVE_INFINITY;
         long coldWindow = -1;
         double coldSent;
+        /** The jobs that it holds for each core, from all dispatchers, as the list told last. */
+        double load;
+        /** Slots sent to it lately, fading, as of {@code recentAt}: what the list cannot show yet. */
+        double recent;
+        double recentAt;
+        /** Slots that began here since the last cycle, and a second. */
+        double starts;
+        double startRate;
 
         Node(Worker entry, int classes) {
             this.shunnedUntil = new double[classes];
@@ -49,7 +59,7 @@
         int unheard;
         int unreachable;
         double nextTrial;
-        final List<Group> groups = new ArrayList<>();
+        final Map<Integer, Group> groups = new HashMap<>();
     }
 
     /** What is learned of the workers of one kind in one zone. */
@@ -57,9 +67,8 @@
         double wait;
         double slowness = 1;
         boolean known;
-        int workers;
-        double rate;
-        int done;
+        /** The weight of a worker of this kind that holds nothing: its size. */
+        double size;
     }
 
     /** One sending of a request to a worker. */
@@ -94,12 +103,18 @@
         }
     }
 
-    /** What a peer last told. */
+    /** What a peer last told, and in which cycle. */
     static final class Peer {
         int at;
-        double slice;
-        double over;
-        double[] demands;
+        final double slice;
+        final double over;
+        final double[] demands;
+
+        Peer(double slice, double over, double[] demands) {
+            this.slice = slice;
+            this.over = over;
+            this.demands = demands;
+        }
     }
 
     /** One tenant's part of the slice. */
--- a/emulator/src/main/java/ferngrade/emulator/DiscoverySpec.java
+++ b/emulator/src/main/java/ferngrade/emulator/DiscoverySpec.java
@@ -24,4 +24,7 @@
     /** Time between renewals of the weights; none if 0. */
     @Quantity(Quantity.Measure.TIME)
     public double weightPeriod;
+    /** How old a weight is when it is told. */
+    @Quantity(Quantity.Measure.TIME)
+    public double weightLate;
 }
--- a/emulator/src/main/java/ferngrade/emulator/EmulatedWorker.java
+++ b/emulator/src/main/java/ferngrade/emulator/EmulatedWorker.java
@@ -19,6 +19,8 @@
     public final WorkerModel model;
     final int mostConnections;
     private final double handshakeWork;
+    private final double cores;
+    private final double size;
     /** Where it is reached: a made-up address in virtual time, where it listens on sockets. */
     public final InetSocketAddress address;
     State phase = State.READY;
@@ -40,6 +42,8 @@
         this.address = address;
         this.mostConnections = (int) Math.max(1, spec.connectionsPerCore * spec.cores);
         this.handshakeWork = spec.handshakeWork;
+        this.cores = spec.cores;
+        this.size = spec.cores * spec.speed;
     }
 
     /** An address that no socket uses: it only tells workers apart. */
@@ -62,9 +66,9 @@
         return vanished;
     }
 
-    /** The truth, as an entry of the worker list. */
-    Member entry(double weight) {
-        Worker worker = new Worker(id, phase, zone, kind, cell, model.startedAt(), weight);
+    /** The truth, as an entry of the worker list: its weight is its size, lowered by the jobs held for each core. */
+    Member entry(double held) {
+        Worker worker = new Worker(id, phase, zone, kind, cell, model.startedAt(), size / (1 + held / cores));
         return new Member(name, address, worker);
     }
 
--- a/emulator/src/main/java/ferngrade/emulator/Fault.java
+++ b/emulator/src/main/java/ferngrade/emulator/Fault.java
@@ -27,8 +27,12 @@
         WORKER_LOST,
         /** A worker's process dies, and restarts cold after {@code length}. */
         WORKER_CRASH,
+        /** All processes of a zone's workers die at once, and restart cold after {@code length}. */
+        ZONE_LOST,
         /** A node is killed, and starts again after {@code length}. */
         NODE_KILL,
+        /** The share {@code part} of the nodes is killed at once, and starts again after {@code length}. */
+        HERD_KILL,
         /** A node's process stands still while its clock goes on. */
         NODE_PAUSE,
         /** Discovery tells nothing; what it held back comes at the end. */
--- a/emulator/src/main/java/ferngrade/emulator/Plan.java
+++ b/emulator/src/main/java/ferngrade/emulator/Plan.java
@@ -88,11 +88,22 @@
                 levers.workerDown(worker);
                 yield () -> restart(worker);
             }
+            case ZONE_LOST -> {
+                int zone = target(fault, scenario.zones.size());
+                List<EmulatedWorker> lost = fleet.serving().stream().filter(each -> each.zone == zone).toList();
+                lost.forEach(this::crash);
+                yield () -> lost.forEach(this::restart);
+            }
             case NODE_KILL -> {
                 int node = target(fault, scenario.nodes);
                 levers.killNode(node);
                 yield () -> levers.startNode(node);
             }
+            case HERD_KILL -> {
+                List<Integer> killed = herd(fault);
+                killed.forEach(levers::killNode);
+                yield () -> killed.forEach(levers::startNode);
+            }
             case NODE_PAUSE -> {
                 int node = target(fault, scenario.nodes);
                 levers.pauseNode(node, true);
@@ -120,6 +131,15 @@
         return from.get(target(fault, from.size()));
     }
 
+    /** The share {@code part} of the nodes, at least one, drawn by chance. */
+    private List<Integer> herd(Fault fault) {
+        List<Integer> nodes = new ArrayList<>();
+        for (int node = 0; node < scenario.nodes; node++) {
+            nodes.add(chance.nextInt(nodes.size() + 1), node);
+        }
+        return List.copyOf(nodes.subList(0, (int) Math.max(1, Math.round(scenario.nodes * fault.part()))));
+    }
+
     private Runnable cut(Fault fault) {
         int zone = target(fault, scenario.zones.size());
         boolean oneWay = fault.part() > 0;
@@ -195,7 +215,15 @@
         roll.changed(worker, false);
     }
 
+    /** The process dies, and discovery notices that it is gone. */
+    private void crash(EmulatedWorker worker) {
+        worker.model.kill(true);
+        levers.workerDown(worker);
+        gone(worker);
+    }
+
     private void restart(EmulatedWorker worker) {
+        worker.phase = State.READY;
         worker.model.restart();
         levers.workerUp(worker);
         roll.changed(worker, true);
--- a/emulator/src/main/java/ferngrade/emulator/Roll.java
+++ b/emulator/src/main/java/ferngrade/emulator/Roll.java
@@ -42,7 +42,7 @@
         this.time = time;
         this.chance = chance;
         this.teller = teller;
-        fleet.all().forEach(worker -> listed.put(worker.id, worker.entry(1)));
+        fleet.all().forEach(worker -> listed.put(worker.id, worker.entry(0)));
         if (spec.weightPeriod > 0) {
             time.after(spec.weightPeriod, () -> renewWeights(fleet));
         }
@@ -70,7 +70,7 @@
         }
         double late = added ? Draw.between(chance, spec.addLeast, spec.addMost)
                 : Draw.between(chance, spec.noticeLeast, spec.noticeMost);
-        Member entry = worker.entry(1);
+        Member entry = worker.entry(worker.model.up() ? worker.model.running() + worker.model.waiting() : 0);
         // One feed in one order: what is noticed later is not told earlier.
         lastNotice = Math.max(lastNotice, time.now() + late);
         time.after(lastNotice - time.now(), () -> notice(entry));
@@ -108,8 +108,7 @@
         for (EmulatedWorker worker : fleet.all()) {
             Member known = listed.get(worker.id);
             if (known != null && worker.model.up()) {
-                double held = worker.model.running() + worker.model.waiting();
-                Member entry = worker.entry(1 / (1 + held / Math.max(1, worker.model.freeSlots() + held)));
+                Member entry = worker.entry(worker.model.running() + worker.model.waiting());
                 if (entry.worker().state() == known.worker().state()
                         && entry.worker().startedAt() == known.worker().startedAt()) {
                     listed.put(worker.id, entry);
@@ -117,9 +116,13 @@
                 }
             }
         }
-        if (silent == 0) {
-            teller.tell(News.CHANGES, changes, ++revision, spec.spread);
-        }
+        time.after(spec.weightLate, () -> {
+            // What has changed otherwise meanwhile was told already, and stands.
+            List<Member> standing = changes.stream().filter(each -> listed.get(each.worker().id()) == each).toList();
+            if (silent == 0) {
+                teller.tell(News.CHANGES, standing, ++revision, spec.spread);
+            }
+        });
         time.after(spec.weightPeriod, () -> renewWeights(fleet));
     }
 
--- a/emulator/src/main/java/ferngrade/emulator/Scenario.java
+++ b/emulator/src/main/java/ferngrade/emulator/Scenario.java
@@ -149,6 +149,7 @@
         return new Settings(node, nodes, zoneOfNode(node), roundMs,
                 workload.classes.stream().map(ClassSpec::jobClass).toList(), tenants,
                 new Limits(tries, secondCopies, cancel, true, peers, retryAfterMax),
-                new ColdRule(startCapacity, coldMs, fallMultiple, tipMs), false, true, false, crossCharge);
+                new ColdRule(startCapacity, coldMs, fallMultiple, tipMs), false, true,
+                discovery.weightPeriod > 0, crossCharge);
     }
 }
--- a/lab/src/test/java/ferngrade/lab/ExperimentReaderTest.java
+++ b/lab/src/test/java/ferngrade/lab/ExperimentReaderTest.java
@@ -34,7 +34,7 @@
         "[fleet];workers = 2.5 | x.toml:2: fleet.workers is not a whole number: 2.5",
         "[[fault]];kind = 'burst';[[fault]];kind = 'bust' | x.toml:4: fault[1].kind is unknown: \"bust\"; there are "
             + "burst, tenant-flood, zone-surge, deploy, shrink, zone-cut, slow-worker, hung-worker, worker-lost, worker-crash, "
-            + "node-kill, node-pause, discovery-out, discovery-lies",
+            + "zone-lost, node-kill, herd-kill, node-pause, discovery-out, discovery-lies",
         "[[fault]];at = '1s' | x.toml:1: fault[0].kind is missing",
         "policies = ['module', 'best'] | x.toml:1: policies holds an unknown one: \"best\"; there are module, random, "
             + "round-robin, least-loaded, two-choices, all-seeing",
--- a/node/src/main/java/ferngrade/config/SettingsMapping.java
+++ b/node/src/main/java/ferngrade/config/SettingsMapping.java
@@ -94,10 +94,9 @@
                 flag("Ceilings.Cancel"), flag("Ceilings.Probes"), peers, retryAfter);
         ColdRule cold = new ColdRule(number("Rules.StartCapacity", 1), number("Rules.Cold", 0),
                 number("Rules.FallMultiple", 1), number("Rules.TipAfter", 1000));
-        String weights = values.getOrDefault("WeightKind", "none");
         return new Settings((int) number("Me", 0), (int) number("Balancers", 1), (int) number("Locality", 0),
                 number("Round", 0), classes(), tenants(), limits, cold, "ask".equals(values.get("Discovery")),
-                flag("Extra.TellsStart"), "nominal".equals(weights) || "rough".equals(weights),
+                flag("Extra.TellsStart"), "live".equals(values.get("WeightKind")),
                 number("Charges.CrossZone", 0));
     }
 
