Count a request's time from when it came, not from when a busy loop reads it

Arrivals sees the loop's turns begin (Netty's select strategy) and says since when bytes may have lain there: what a turn reads came after the turn before had looked, or, where the loop waited, when it woke; a new connection came no earlier than the listener's queue was last seen empty. The job's `due` counts from there.

--- a/node/src/main/java/ferngrade/net/Front.java
+++ b/node/src/main/java/ferngrade/net/Front.java
@@ -7,6 +7,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -34,10 +36,13 @@
     private static final double PATIENCE = 1500;
     private static final double SWEEP = 250;
     private static final int BACKLOG = 1024;
+    /** Connections that the listener accepts in one turn, as Netty has it; after so many, more may wait. */
+    private static final int ACCEPTS = 16;
 
     private final Bounds bounds;
     private final Sibling sibling;
     private final Clock clock;
+    private final Arrivals arrivals;
     private final Timers timers;
     private final Set<FrontHandler> open = new LinkedHashSet<>();
     private final Set<FrontHandler> idle = new LinkedHashSet<>();
@@ -49,11 +54,16 @@
     private boolean drained;
     private Runnable whenDone;
     private int jobs;
+    /** Since when connections may have waited to be accepted; the accepts of this turn, and if there are more. */
+    private double waiting;
+    private int accepts;
+    private boolean more;
 
-    Front(Bounds bounds, Clock clock, Timers timers, Sibling sibling) {
+    Front(Bounds bounds, Clock clock, Arrivals arrivals, Timers timers, Sibling sibling) {
         this.sibling = sibling;
         this.bounds = bounds;
         this.clock = clock;
+        this.arrivals = arrivals;
         this.timers = timers;
     }
 
@@ -71,11 +81,27 @@
                     .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true);
         }
         inherited = taken != null;
+        bootstrap.handler(new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object accepted) {
+                if (accepts++ == 0 && !more) {
+                    waiting = arrivals.since();
+                }
+                ctx.fireChannelRead(accepted);
+            }
+
+            @Override
+            public void channelReadComplete(ChannelHandlerContext ctx) {
+                more = accepts >= ACCEPTS;
+                accepts = 0;
+                ctx.fireChannelReadComplete();
+            }
+        });
         bootstrap.childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        FrontHandler handler = new FrontHandler(Front.this, node, reader, clock, log);
+                        FrontHandler handler = new FrontHandler(Front.this, node, reader, clock, log, arrivals, waiting);
                         channel.pipeline().addLast(handler.firstBytes(), new HttpServerCodec(),
                                 new BodyAggregator(MOST_BODY), handler);
                     }
--- a/node/src/main/java/ferngrade/net/FrontHandler.java
+++ b/node/src/main/java/ferngrade/net/FrontHandler.java
@@ -48,13 +48,23 @@
     private boolean ending;
     private boolean proven;
     private String taken;
+    private final Arrivals arrivals;
+    /** Since when this connection may have waited to be accepted, and the loop's turn in which it was. */
+    private final double opened;
+    private final long openedIn;
+    /** Since when the bytes read last may have been here. */
+    private double arrived;
 
-    FrontHandler(Front front, Node node, RequestReader reader, Clock clock, Log log) {
+    FrontHandler(Front front, Node node, RequestReader reader, Clock clock, Log log, Arrivals arrivals, double opened) {
         this.front = front;
         this.node = node;
         this.reader = reader;
         this.clock = clock;
         this.log = log;
+        this.arrivals = arrivals;
+        this.opened = opened;
+        this.openedIn = arrivals.turn();
+        this.arrived = opened;
     }
 
     /** Stands before the codec: the time for a request counts from its first byte. */
@@ -62,6 +72,8 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                // What came before a connection was accepted is read in the turn after that.
+                arrived = arrivals.turn() <= openedIn + 1 ? opened : arrivals.since();
                 if (!busy && !ending) {
                     received = true;
                     front.receives(FrontHandler.this);
@@ -167,7 +179,7 @@
     }
 
     private void job(FullHttpRequest request) throws BadRequestException {
-        Job job = reader.job(request, clock.now());
+        Job job = reader.job(request, arrived);
         if (front.finishing()) {
             node.refuse(job, new HttpReply(), 0);
             return;
@@ -226,6 +238,7 @@
             front.idle(this);
             context.channel().config().setAutoRead(true);
         } else {
+            arrived = clock.now();
             begin(waiting.poll());
         }
     }
--- a/node/src/main/java/ferngrade/net/NodeServer.java
+++ b/node/src/main/java/ferngrade/net/NodeServer.java
@@ -21,6 +21,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.spi.SelectorProvider;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -48,8 +49,9 @@
     private final Clock clock;
     private final Log log;
     private final Decisions decisions;
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
+    private final Arrivals arrivals;
+    private final EventLoopGroup group;
+    private final EventLoop loop;
     private final Timers timers;
     private final Bounds bounds;
     private final Front front;
@@ -76,12 +78,17 @@
         this.config = config;
         this.clock = clock;
         this.log = log;
-        this.timers = new Timers(clock, (millis, run) ->
-                loop.schedule(run, (long) Math.ceil(millis * 1000), TimeUnit.MICROSECONDS));
+        this.arrivals = new Arrivals(clock);
+        this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory(SelectorProvider.provider(), arrivals));
+        this.loop = group.next();
+        this.timers = new Timers(clock, (millis, run) -> loop.schedule(() -> {
+            arrivals.working();
+            run.run();
+        }, (long) Math.ceil(millis * 1000), TimeUnit.MICROSECONDS));
         this.bounds = Bounds.within(config.sockets(), config.memoryMb());
         // Only a process on a handed socket can have another beside it.
         this.sibling = platform.accepted() == null ? null : new Sibling(group, timers, log, null);
-        this.front = new Front(bounds, clock, timers, sibling);
+        this.front = new Front(bounds, clock, arrivals, timers, sibling);
     }
 
     /** Starts the decisions of a node, which ask for what they want done by these actions. */
