Refuse a job at once only if every worker in favour would run it late

At fault: the pick weighs slots held here first, so with two nodes a slow worker that holds none of ours but has a deep told queue is the cheapest, and next() then refused the job as hopeless though others stood idle.

A worker with a hopeless queue is now out of favour like one that is held back; only if the worker of the last resort is hopeless too is the job refused.

--- a/decisions/src/main/java/ferngrade/Choice.java
+++ b/decisions/src/main/java/ferngrade/Choice.java
@@ -29,8 +29,10 @@
     private static final double CYCLE = 500;
     /** Weight of the newest cycle in a worker's starts a second, which one dispatcher sees few of. */
     private static final double START_WEIGHT = 0.15;
-    /** Cycles before a dispatcher that has just started takes its own starts for its share. */
-    private static final int STARTS_FROM = 4;
+    /** Cycles from its first start on before a dispatcher takes its own starts for its share. */
+    private static final int TRAFFIC_FROM = 6;
+    /** Part of what the fleet has idle that one dispatcher may take at once, whatever it had before. */
+    private static final double SPARE = 0.5;
     /** A slice is at most so many times its share of what the fleet can do; it could never grow otherwise. */
     private static final double AMPLE = 1.75;
     /** What is taken off that where every worker has a job waiting for each core; more count no more. */
@@ -154,6 +156,7 @@
     private double acceptedMean;
     private int cycle;
     private boolean loads;
+    private int traffic;
     private int warm;
     private double lastOver;
     private final int[] peers;
@@ -163,6 +166,7 @@
         double seconds = Math.max(1, now - lastCycle) / 1000;
         lastCycle = now;
         cycle++;
+        heard.values().removeIf(peer -> cycle - peer.at > FRESH_CYCLES);
         double rate = asked / seconds;
         demand = cycle == 1 ? rate : demand + DEMAND_WEIGHT * (rate - demand);
         for (Share share : shares) {
@@ -219,8 +223,10 @@
             }
             warm += ready && !cold(node, now) ? 1 : 0;
         }
-        loads = settings.liveWeights() && cycle >= STARTS_FROM && busy > 0.05 * size;
-        return rate / (1 - Math.pow(1 - START_WEIGHT, cycle)) * size / busy * (AMPLE - TIGHT * queued / size);
+        traffic += traffic > 0 || rate > 0 ? 1 : 0;
+        loads = settings.liveWeights() && traffic >= TRAFFIC_FROM && busy > 0.05 * size;
+        double own = rate / (1 - Math.pow(1 - START_WEIGHT, traffic)) * size / busy;
+        return Math.max(own * (AMPLE - TIGHT * queued / size), SPARE * (size - busy) * 1000 / meanWork);
     }
 
     private void growOrTrim(double seconds) {
@@ -253,19 +259,12 @@
     private double peerStep() {
         double step = 0;
         double gamma = 1.0 / (peers.length + 1);
-        for (int peer : peers) {
-            Peer last = heard.get(peer);
-            if (fresh(last)) {
-                step += gamma * (lastOver - last.over);
-            }
+        for (Peer last : heard.values()) {
+            step += gamma * (lastOver - last.over);
         }
         return step;
     }
 
-    private boolean fresh(Peer peer) {
-        return peer != null && cycle - peer.at <= FRESH_CYCLES;
-    }
-
     /**
      * The slots asked here within the level that this dispatcher and its peers could keep together. If all
      * that is asked counted, small dispatchers would starve: in a deep overload every slice loses the same
@@ -274,13 +273,10 @@
     private double wanted() {
         double slots = slice;
         double[] demands = demands();
-        for (int peer : peers) {
-            Peer last = heard.get(peer);
-            if (fresh(last)) {
-                slots += last.slice;
-                for (int i = 0; i < demands.length; i++) {
-                    demands[i] += last.demands[i];
-                }
+        for (Peer last : heard.values()) {
+            slots += last.slice;
+            for (int i = 0; i < demands.length; i++) {
+                demands[i] += last.demands[i];
             }
         }
         double level = waterLevel(slots, demands, weights());
@@ -531,13 +527,19 @@
     private boolean inFavour(Request request, Node node, double now) {
         boolean onTrial = node.ejection > 0 && node.held > 0;
         boolean shunned = node.shunnedUntil[request.job.jobClass()] > now;
-        if (node.holdUntil > now || node.ejectedUntil > now || onTrial || shunned || tried(request, node)) {
+        if (node.holdUntil > now || node.ejectedUntil > now || onTrial || shunned || tried(request, node)
+                || hopeless(request, node, now)) {
             return false;
         }
         Zone zone = zone(node.entry.zone());
         return !silent(zone, now) || now >= zone.nextTrial;
     }
 
+    /** A first attempt that would begin too late would only keep later jobs from being in time. */
+    private boolean hopeless(Request request, Node node, double now) {
+        return loads && request.attempts.isEmpty() && toldWait(node, now) > lateAfter(request, node);
+    }
+
     private static boolean tried(Request request, Node node) {
         return request.attempts.stream().anyMatch(attempt -> attempt.node == node);
     }
@@ -810,9 +812,7 @@
         Share share = shares.get(Math.min(request.job.tenant(), shares.size() - 1));
         boolean excess = share.demand > share.level && !request.attempts.isEmpty();
         Node node = !excess && maySend(request, now) ? pick(request, now) : null;
-        // Where the best worker would run it too late, it would only keep later ones from being in time.
-        boolean first = request.attempts.isEmpty();
-        if (node != null && !(loads && first && toldWait(node, now) > lateAfter(request, node))) {
+        if (node != null && !hopeless(request, node, now)) {
             send(request, node, now);
         } else if (request.out == 0) {
             answer(request, service);
--- a/decisions/src/test/java/ferngrade/LoadTest.java
+++ b/decisions/src/test/java/ferngrade/LoadTest.java
@@ -77,6 +77,33 @@
         assertEquals(1.75 * 40, choice.slice(), 10);
     }
 
+    @Test
+    void aDispatcherThatComesIntoABusyFleetRefusesNothing() {
+        Arrays.fill(load, 0.6);
+        for (int i = 0; i < 8; i++) {
+            list();
+            now += 500;
+            choice.timer(now, CYCLE);
+        }
+        int refused = 0;
+        for (int i = 0; i < 12; i++) {
+            list();
+            refused += cycle(10);
+        }
+        assertEquals(0, refused, "its clients come some seconds after it, and the fleet has room");
+    }
+
+    @Test
+    void aSurgeAfterAQuietTimeGetsWhatTheFleetHasIdle() {
+        warmUp(0.3);
+        for (int i = 0; i < 20; i++) {
+            list();
+            now += 500;
+            choice.timer(now, CYCLE);
+        }
+        assertEquals(0, cycle(8));
+    }
+
     @Test
     void aLostZoneIsInTheSliceBeforeAnyJobIsLate() {
         warmUp(0.5);
@@ -111,6 +138,22 @@
         out.sends.subList(from, out.sends.size()).forEach(send -> assertNotEquals(3, send.worker()));
     }
 
+    @Test
+    void aWorkerThatHoldsNothingOfOursButHasADeepQueueRefusesNoJob() {
+        warmUp(0.5);
+        load[3] = 3;
+        int refused = 0;
+        // The others hold several jobs of ours each, the deep one none.
+        for (int i = 0; i < 20; i++) {
+            list();
+            now += 10;
+            String id = "h" + i;
+            choice.arrived(now, Fixture.job(id, 0, now + 10_000));
+            refused += out.refused.contains(id) ? 1 : 0;
+        }
+        assertEquals(0, refused);
+    }
+
     @Test
     void aJobThatWouldBeLateEverywhereIsRefusedAtOnce() {
         warmUp(0.5);
