--- a/decisions/src/main/java/ferngrade/Choice.java
+++ b/decisions/src/main/java/ferngrade/Choice.java
@@ -157,6 +157,7 @@
     private int cycle;
     private boolean loads;
     private int traffic;
+    private boolean crowded;
     private int warm;
     private double lastOver;
     private final int[] peers;
@@ -225,6 +226,7 @@
         }
         traffic += traffic > 0 || rate > 0 ? 1 : 0;
         loads = settings.liveWeights() && traffic >= TRAFFIC_FROM && busy > 0.05 * size;
+        crowded = queued > 0.35 * size;
         double own = rate / (1 - Math.pow(1 - START_WEIGHT, traffic)) * size / busy;
         return Math.max(own * (AMPLE - TIGHT * queued / size), SPARE * (size - busy) * 1000 / meanWork);
     }
@@ -528,7 +530,7 @@
         boolean onTrial = node.ejection > 0 && node.held > 0;
         boolean shunned = node.shunnedUntil[request.job.jobClass()] > now;
         if (node.holdUntil > now || node.ejectedUntil > now || onTrial || shunned || tried(request, node)
-                || hopeless(request, node, now)) {
+                || !crowded && hopeless(request, node, now)) {
             return false;
         }
         Zone zone = zone(node.entry.zone());
