Send jobs where their object is at hand, and let the worthiest class go first

Only a box's slots are learned from it. Change: Objects remembers what each worker was sent, the pick adds a fetch where it is missing; held slots count by the worker's size; where the goal's weights say that the whole gains more than the worst class loses (ResultMix), a class may overdraw its tenant's level by 1 s. Wild figures in a report count as not told.

--- a/decisions/src/main/java/ferngrade/Choice.java
+++ b/decisions/src/main/java/ferngrade/Choice.java
@@ -9,18 +9,19 @@
 import ferngrade.Notes.Zone;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.DoubleConsumer;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
- * All decisions of one dispatcher. The interface, its types, events and actions, is {@link Dispatcher}. A job
- * passes, in this order: its tenant's level inside this dispatcher's slice of the slot budget, the pick of a
- * worker, and, when an attempt ends badly, the guard that says whether it may go out again. Nothing here
- * reads a clock; time comes with events.
+ * All decisions of one dispatcher, behind {@link Dispatcher}. A job passes, in this order: its tenant's level
+ * inside this dispatcher's slice of the slot budget, the pick of a worker, and, when an attempt ends badly,
+ * the guard that says whether it may go out again. Nothing here reads a clock; time comes with events.
  */
 public final class Choice implements Dispatcher {
     // ---- Constants ----
@@ -45,9 +46,8 @@
     private static final double DEEP = 0.35;
     /** Weight of one job in the mean work: cold budgets go by it, and must not swing with single jobs. */
     private static final double WORK_WEIGHT = 0.02;
-    /** Ms in which the list comes to show a job sent; the wait that a load without any queue counts as. */
+    /** Ms in which the list comes to show a job sent. */
     private static final double RECENT = 1000;
-    private static final double LOAD_WAIT = 0.1;
     /** Share by which a slice in demand grows in a cycle: back from a half in 2 s. */
     private static final double GROW = 0.2;
     /** Cut of a slice, times the refused share of its attempts: it settles where a twentieth is refused. */
@@ -60,23 +60,22 @@
     private static final double FLOOR = 1;
     /** Weight of the newest cycle in the smoothed demand. */
     private static final double DEMAND_WEIGHT = 0.4;
-    /**
-     * Weight of the newest cycle in the counts that a cut goes by. A dispatcher sends few jobs in a cycle: of
-     * four, two late ones are chance, and cutting by them alone refuses what an idle fleet could do.
-     */
-    private static final double COUNT_WEIGHT = 0.4;
+    /** Weight of the newest cycle in the counts that a cut goes by: of few jobs, some are late by chance. */
+    private static final double COUNT_WEIGHT = 0.2;
     /** Cycles for which a peer's last message counts. */
     private static final int FRESH_CYCLES = 3;
     /** Seconds of its level that a tenant may have saved up. */
     private static final double BURST_S = 0.25;
+    /** Seconds of its level by which the classes that go first may overdraw it; the others pay for it. */
+    private static final double DEBT_S = 1;
     /** Workers looked at for a job in its own zone, and as many elsewhere; of fewer, all. */
     private static final int SCAN = 8;
+    /** Workers looked at, all of them, for a job that needs an object, which one not looked at may have. */
+    private static final int OBJECT_SCAN = 32;
     /** Share of its spare time from which on a job's wait counts as a refusal: queues have begun to build. */
     private static final double LATE = 0.75;
     /** Share of its spare time after which a job that has not started is tried elsewhere too. */
     private static final double PATIENCE = 0.2;
-    /** Share of 'full' among the sends above which no worker is thought idle and no job moved. */
-    private static final double CROWDED = 0.05;
     /** Moves earned by each first send, and the most that may be saved up. */
     private static final double MOVE_SHARE = 0.05;
     private static final double MOVES_SAVED = 3;
@@ -85,16 +84,14 @@
     /** Weight of one wait in a worker's own mean, and the ms in which that mean fades into its group's. */
     private static final double WAIT_WEIGHT = 0.3;
     private static final double WAIT_MEMORY = 3000;
-    /** What 'full' counts as a wait, in mean service times: the attempt is lost, not only late. */
-    private static final double FULL_WAIT = 3;
+    /** What a fetch of an object counts as, in mean work: its time, and its part of the store. */
+    private static final double FETCH = 1.2;
     /** Weight of one outcome in a learned mean. */
     private static final double LEARN = 0.1;
     /** A zone's charge as a delay: charge x aim x this; half the jobs in time are lost over half an aim. */
     private static final double CHARGE_DELAY = 2;
     /** Share that a tenant with none counts as having, so that it gets what nobody else wants. */
     private static final double LEAST_SHARE = 1e-6;
-    /** Longest hold-back of a worker that answers 'full', in mean service times. */
-    private static final double HOLD_MOST = 4;
     /** First and longest ejection of a worker that fails, ms. */
     private static final double EJECT_FIRST = 1000;
     private static final double EJECT_MOST = 16000;
@@ -109,6 +106,8 @@
     private static final double SILENCE = 100;
     /** Share of the cold budget that is used, under half: two windows can touch one window of the rule. */
     private static final double COLD_SHARE = 0.35;
+    /** Free slots from which on one is free: reports are a little noisy. */
+    private static final double FREE = 0.5;
 
     private static final long CYCLE_TOKEN = 1;
     private static final long WATCH_TOKEN = 2;
@@ -123,8 +122,9 @@
     private List<Node> remote = new ArrayList<>();
     private final Map<Integer, Zone> zones = new HashMap<>();
     private final double[] classService;
+    private final double[] classWork;
     private double service = 100;
-    private boolean serviceKnown;
+    private long served;
 
     /** Starts a dispatcher's decisions at {@code now}; the seed is its only source of chance. */
     public Choice(Settings settings, long seed, double now, Actions actions) {
@@ -132,12 +132,14 @@
         this.actions = actions;
         this.random = new SplittableRandom(seed);
         this.classService = new double[settings.classes().size()];
+        this.classWork = new double[classService.length];
         this.lastCycle = now;
         int tenants = Math.max(1, settings.tenants().size());
         for (int i = 0; i < tenants; i++) {
             double share = settings.tenants().isEmpty() ? 1 : settings.tenants().get(i).share();
             shares.add(new Share(Math.max(share, LEAST_SHARE)));
         }
+        this.weights = shares.stream().mapToDouble(share -> share.weight).toArray();
         this.peers = PeerGraph.links(settings.me(), settings.dispatchers());
         actions.timer(random.nextDouble() * CYCLE, CYCLE_TOKEN);
         if (settings.asks()) {
@@ -149,12 +151,8 @@
 
     private double lastCycle;
     private double slice = Double.NaN;
-    private double asked;
-    private double demand;
     private int sent;
     private int refused;
-    private int full;
-    private double crowding;
     private double lastCut = Double.NEGATIVE_INFINITY;
     private double accepted;
     private double sentMean;
@@ -174,8 +172,6 @@
         lastCycle = now;
         cycle++;
         heard.values().removeIf(peer -> cycle - peer.at > FRESH_CYCLES);
-        double rate = asked / seconds;
-        demand = cycle == 1 ? rate : demand + DEMAND_WEIGHT * (rate - demand);
         for (Share share : shares) {
             share.demand += (cycle == 1 ? 1 : DEMAND_WEIGHT) * (share.asked / seconds - share.demand);
             share.asked = 0;
@@ -186,16 +182,14 @@
         } else {
             growOrTrim(seconds);
         }
-        crowding += DEMAND_WEIGHT / 2 * ((sent == 0 ? 0 : (double) full / sent) - crowding);
         if (settings.limits().peers() && peers.length > 0) {
             slice = Math.max(FLOOR, slice + peerStep());
             tellPeers();
         }
-        setLevels();
-        asked = 0;
+        double level = waterLevel(slice, demands(), weights);
+        shares.forEach(each -> each.level = level * each.weight);
         sent = 0;
         accepted = 0;
-        full = 0;
         refused = 0;
         actions.timer(CYCLE, CYCLE_TOKEN);
     }
@@ -208,8 +202,7 @@
     /**
      * The slots a second that this dispatcher may start, by the load of each worker over all dispatchers,
      * where the list tells it: its own starts over the busy part of the workers that can be reached is its
-     * share of what these can do. All see the same loads, so the sum follows a lost zone or a release without
-     * a word.
+     * share of what these can do. All see the same loads: the sum follows a lost zone without a word.
      */
     private double fleetShare(double seconds, double now) {
         double size = 0;
@@ -242,7 +235,7 @@
         refusedMean += COUNT_WEIGHT * (refused - refusedMean);
         acceptedMean += COUNT_WEIGHT * (accepted / seconds - acceptedMean);
         double bad = refusedMean == 0 ? 0 : refusedMean / Math.max(sentMean, refusedMean);
-        double most = SLACK * demand + FLOOR;
+        double most = SLACK * Arrays.stream(demands()).sum() + FLOOR;
         double change = GROW - TRIM * bad;
         // The start is generous until a first cut shows a limit. A dispatcher that waits for its clients sees
         // no demand for some cycles; growing from the floor then refuses them on an idle fleet.
@@ -287,7 +280,7 @@
                 demands[i] += last.demands[i];
             }
         }
-        double level = waterLevel(slots, demands, weights());
+        double level = waterLevel(slots, demands, weights);
         double wanted = 0;
         for (int i = 0; i < demands.length; i++) {
             double kept = level * shares.get(i).weight;
@@ -299,39 +292,22 @@
     // ---- Tenants: weighted water level inside the slice ----
 
     private final List<Share> shares = new ArrayList<>();
-
-    /** The paper's Algorithm 2 with each level weighted by the tenant's share; no level while all fits. */
-    private void setLevels() {
-        double level = waterLevel(slice, demands(), weights());
-        for (Share share : shares) {
-            share.level = level * share.weight;
-        }
-    }
+    private final double[] weights;
 
     private double[] demands() {
         return shares.stream().mapToDouble(share -> share.demand).toArray();
     }
 
-    private double[] weights() {
-        return shares.stream().mapToDouble(share -> share.weight).toArray();
-    }
-
-    /** The level, per unit of weight, at which these demands fill the slots; infinite while all fits. */
+    /** The paper's Algorithm 2, weighted: the level at which these fill the slots; infinite while all fit. */
     static double waterLevel(double slots, double[] demands, double[] weights) {
         double left = slots;
         double weightLeft = Arrays.stream(weights).sum();
-        boolean[] filled = new boolean[demands.length];
-        for (int round = 0; round < demands.length; round++) {
-            int least = -1;
-            for (int i = 0; i < demands.length; i++) {
-                if (!filled[i] && (least < 0 || demands[i] * weights[least] < demands[least] * weights[i])) {
-                    least = i;
-                }
-            }
+        Integer[] byNeed = IntStream.range(0, demands.length).boxed().toArray(Integer[]::new);
+        Arrays.sort(byNeed, Comparator.comparingDouble(i -> demands[i] / weights[i]));
+        for (int least : byNeed) {
             if (demands[least] * weightLeft > left * weights[least]) {
                 return Math.max(0, left) / weightLeft;
             }
-            filled[least] = true;
             left -= demands[least];
             weightLeft -= weights[least];
         }
@@ -341,20 +317,34 @@
     private boolean admit(Job job, double now) {
         Share share = shares.get(Math.min(job.tenant(), shares.size() - 1));
         share.asked += job.slots();
-        asked += job.slots();
         if (Double.isInfinite(share.level)) {
             return true;
         }
         double most = Math.max(job.slots(), share.level * BURST_S);
         share.saved = Math.min(most, share.saved + share.level * (now - share.savedAt) / 1000);
         share.savedAt = now;
-        if (share.saved < job.slots()) {
+        double debt = share.saved < job.slots() && goesFirst(job.jobClass()) ? DEBT_S * share.level : 0;
+        if (share.saved + debt < job.slots()) {
             return false;
         }
         share.saved -= job.slots();
         return true;
     }
 
+    /** Whether work moved here from the other classes adds more to the whole than the worst class loses. */
+    private boolean goesFirst(int jobClass) {
+        double worth = 0;
+        double work = 0;
+        for (int i = 0; i < classWork.length; i++) {
+            worth += classWork[i] * settings.classes().get(i).worth();
+            work += classWork[i];
+        }
+        double each = settings.classes().get(jobClass).worth();
+        double others = work - classWork[jobClass];
+        double gain = each * others - (worth - classWork[jobClass] * each);
+        return settings.goal().whole() * gain > settings.goal().worstClass() * worth;
+    }
+
     // ---- Pick: the ready worker of the kind that holds the fewest of our slots ----
 
     @Override
@@ -364,7 +354,9 @@
         }
         Request request = new Request(job, settings.classes().get(job.jobClass()));
         requests.put(job.id(), request);
-        meanWork += Math.max(WORK_WEIGHT, 1.0 / ++jobs) * (norm(request) * job.slots() - meanWork);
+        double work = norm(request) * job.slots();
+        meanWork += Math.max(WORK_WEIGHT, 1.0 / ++jobs) * (work - meanWork);
+        classWork[job.jobClass()] += work;
         if (admit(job, now)) {
             next(request, now);
         } else {
@@ -382,10 +374,11 @@
         Node best = null;
         double least = Double.POSITIVE_INFINITY;
         boolean whole = bound != null || desperate;
+        boolean object = request.job.object() != 0;
         for (int part = 0; part < 2; part++) {
             List<Node> pool = part == 0 ? local : remote;
             int size = pool.size();
-            int looks = whole ? size : Math.min(size, SCAN);
+            int looks = whole || object && size <= OBJECT_SCAN ? size : Math.min(size, SCAN);
             for (int i = 0; i < looks; i++) {
                 Node node = pool.get(looks == size ? i : random.nextInt(size));
                 if (!permitted(request, bound, node, now) || !desperate && !inFavour(request, node, now)) {
@@ -406,16 +399,18 @@
     }
 
     /**
-     * Own held slots first, each worth a mean service time; then waits, learned speed and the zone's price,
-     * in ms.
+     * Own held slots first, each worth a mean service time over the worker's size, where that is told; then
+     * waits, learned speed, the fetch of an object and the zone's price, in ms.
      */
     private double cost(Request request, Node node, double now) {
         double mean = heldSlots / (local.size() + remote.size());
         double held = node.proven ? node.held : Math.max(node.held, mean);
-        double cost = held * service + expectedWait(node, now) + SPEED * serviceTime(request, node);
+        double cost = held * service / Math.max(1, node.group.size) + expectedWait(node, now)
+                + SPEED * serviceTime(request, node)
+                + FETCH * meanWork * node.objects.missing(request.job.object(), node.id);
         if (node.entry.zone() != settings.zone()) {
-            JobClass jobClass = request.jobClass;
-            cost += CHARGE_DELAY * settings.crossCharge() * (jobClass.aim() + jobClass.stretch() * service);
+            double aim = request.jobClass.aim() + request.jobClass.stretch() * service;
+            cost += CHARGE_DELAY * settings.crossCharge() * aim;
         }
         return cost + trip(node);
     }
@@ -442,6 +437,7 @@
         heldSlots += request.job.slots();
         node.recent = recent(node, now) + request.job.slots();
         node.recentAt = now;
+        node.objects.use(request.job.object(), node.group.size);
         sent++;
         if (request.attempts.size() == 1) {
             moves = Math.min(MOVES_SAVED, moves + MOVE_SHARE);
@@ -496,9 +492,8 @@
     }
 
     /**
-     * A job stuck in a queue is tried elsewhere too, the old place kept. Where queues are short that gains
-     * little and may run the job twice: no moves while workers answer 'full'. Deep queues jam long before
-     * that, and a cancelled place may run all the same: moves without a budget would then multiply the work.
+     * A job stuck in a queue is tried elsewhere too, the old place kept; without a budget that would multiply
+     * the work where queues are deep.
      */
     private void move(Request request, double now) {
         int last = request.attempts.size() - 1;
@@ -509,7 +504,7 @@
         if (newest.outcome == null) {
             learnWait(newest.node, Math.max(now - newest.sentAt, expectedWait(newest.node, now)), now);
         }
-        boolean idle = moves >= 1 && crowding < CROWDED && maySend(request, now);
+        boolean idle = moves >= 1 && maySend(request, now);
         Node node = idle ? scan(request, binding(request), now, false) : null;
         if (node == null) {
             return;
@@ -581,7 +576,6 @@
         zone.trip = Math.min(zone.trip, delay);
         learnWait(node, delay - zone.trip, now);
         countStart(request, attempt);
-        node.hold *= 0.7;
     }
 
     /** The wait for its start from which on a job counts as not accepted. */
@@ -625,7 +619,7 @@
     private double toldWait(Node node, double now) {
         double slowness = node.group.slowness;
         double load = node.load + recent(node, now) / Math.max(1, node.group.size * slowness);
-        return (Math.max(0, load - 1) + LOAD_WAIT * load) * service * slowness;
+        return Math.max(0, load - 1) * service * slowness;
     }
 
     private static double recent(Node node, double now) {
@@ -666,11 +660,8 @@
             }
             case FULL -> {
                 signOfLife(node, now);
-                node.hold = Math.min(HOLD_MOST * service, Math.max(service / 4, 2 * node.hold));
-                node.holdUntil = now + node.hold * (0.5 + random.nextDouble());
-                learnWait(node, FULL_WAIT * service, now);
+                node.holdUntil = now + service * (0.5 + random.nextDouble());
                 refused++;
-                full++;
             }
             case TIMEOUT -> {
                 if (node.heardAt >= attempt.sentAt && Double.isNaN(attempt.startedAt)
@@ -691,12 +682,10 @@
             case ERROR, RESET, CONNECT_FAILED -> {
                 if (outcome == Outcome.ERROR) {
                     signOfLife(node, now);
-                }
-                if (outcome == Outcome.CONNECT_FAILED) {
+                } else if (outcome == Outcome.CONNECT_FAILED) {
                     zone(node.entry.zone()).unreachable++;
                 }
-                // None of these trims: they speak of one worker, which the ejection answers, and not of the
-                // others. If what these can do has become too little, late starts show it.
+                // None of these trims: they speak of one worker. Late starts show what the others cannot do.
                 node.proven = true;
                 eject(node, now);
             }
@@ -704,10 +693,7 @@
         }
     }
 
-    /**
-     * A worker that works, but did not take this job: it may hang on all of its class. Ejected, it would be
-     * missed for the others; kept, it would swallow a job of the class at every pick.
-     */
+    /** A worker that works but did not take this job may hang on all of its class; others it may well do. */
     private static void shun(Node node, int jobClass, double now) {
         node.shunning[jobClass] = Math.min(SHUN_MOST, Math.max(SHUN_FIRST, 2 * node.shunning[jobClass]));
         node.shunnedUntil[jobClass] = now + node.shunning[jobClass];
@@ -723,11 +709,9 @@
         double took = Math.max(0.1, now - from);
         int jobClass = request.job.jobClass();
         double known = classService[jobClass];
-        double norm = serviceKnown ? norm(request) : took;
+        double ratio = Math.min(8, served == 0 ? 1 : took / norm(request));
         classService[jobClass] = known == 0 ? took : known + LEARN / 2 * (took - known);
-        service = serviceKnown ? service + LEARN / 2 * (took - service) : took;
-        serviceKnown = true;
-        double ratio = Math.min(8, took / norm);
+        service += Math.max(LEARN / 2, 1.0 / ++served) * (took - service);
         Node node = attempt.node;
         Group group = node.group;
         group.slowness = group.known ? group.slowness + LEARN / 2 * (ratio - group.slowness) : ratio;
@@ -738,10 +722,7 @@
         node.slowness += LEARN * (ratio - node.slowness);
     }
 
-    /**
-     * A worker that fails fast looks idle and would draw every job: it is left out, longer each time it fails
-     * a trial.
-     */
+    /** A worker that fails fast looks idle and would draw every job: it is left out, longer each time. */
     private void eject(Node node, double now) {
         long out = nodes.values().stream().filter(each -> each.told && each.ejectedUntil > now).count();
         if (node.ejectedUntil > now || out >= EJECT_SHARE * (local.size() + remote.size())) {
@@ -857,9 +838,7 @@
         heldSlots -= request.job.slots();
         learn(request, attempt, outcome, now);
         readReport(attempt.node, report, now);
-        if (over) {
-            request.over = true;
-        }
+        request.over |= over;
         if (request.over) {
             keepOnly(request, number);
             forget(request);
@@ -875,11 +854,6 @@
         }
     }
 
-    @Override
-    public void streaming(double now, String id, int number) {
-        started(now, id, number);
-    }
-
     @Override
     public void abandoned(double now, String id) {
         Request request = requests.get(id);
@@ -930,8 +904,7 @@
     }
 
     private boolean cold(Node node, double now) {
-        double start = node.entry.startedAt();
-        return start > 0 && now - start < settings.cold().coldMs();
+        return node.entry.startedAt() > 0 && now - node.entry.startedAt() < settings.cold().coldMs();
     }
 
     private long coldWindow(Node node, double now) {
@@ -941,8 +914,7 @@
     /**
      * A cold worker falls over from what all dispatchers send it together. Its budget for a window is split
      * among them; where it holds fewer jobs than there are dispatchers, only some may send, others in the
-     * next window. The windows count from the worker's start, so that all dispatchers agree on them without a
-     * word.
+     * next window. All count the windows from the worker's start.
      */
     private boolean coldAllows(Node node, double slots, double now) {
         if (!cold(node, now)) {
@@ -976,10 +948,7 @@
         }
     }
 
-    /**
-     * Jobs a second that a worker of this one's kind carries, all dispatchers together: by its size, where
-     * the list tells that, else what this one sees of the warm workers, and less where the kind is slow.
-     */
+    /** Jobs a second that such a worker carries, of all dispatchers: by its told size, else as seen here. */
     private double carried(Node node) {
         double mean = warm == 0 ? 0 : acceptedMean * settings.dispatchers() / warm;
         return loads ? node.group.size * 1000 / meanWork : mean / Math.max(1, node.group.slowness);
@@ -1003,18 +972,16 @@
         }
     }
 
-    @Override
-    public void checked(double now, long worker, Outcome outcome, double took, Report report) {
-        Node node = nodes.get(worker);
-        if (node != null && outcome == Outcome.OK) {
-            signOfLife(node, now);
-            readReport(node, report, now);
-        }
-    }
-
-    /** A worker that reports no room is passed over for a moment, as long as there are others. */
+    /**
+     * What a worker holds is told late, and all dispatchers would send to the one that was idle a second ago:
+     * only its slots are learned from it. Where it is not told, a worker that reports no room is passed over
+     * for a moment, as long as there are others.
+     */
     private void readReport(Node node, Report report, double now) {
-        if (report.freeSlots() < 1 || report.freeMemory() <= 0) {
+        Group group = node.group;
+        if (report.held() >= 0 && report.freeSlots() >= FREE) {
+            group.size += (group.size <= 1 ? 1 : LEARN) * (report.freeSlots() + report.held() - group.size);
+        } else if (Double.isNaN(report.held()) && (report.freeSlots() < 1 || report.freeMemory() <= 0)) {
             node.holdUntil = Math.max(node.holdUntil, now + service / 4);
         }
     }
--- a/decisions/src/main/java/ferngrade/Dispatcher.java
+++ b/decisions/src/main/java/ferngrade/Dispatcher.java
@@ -19,7 +19,9 @@
     void progressed(double now, String id, int attempt, double share);
 
     /** The attempt's answer has begun to stream to the client; no deadline applies any more. */
-    void streaming(double now, String id, int attempt);
+    default void streaming(double now, String id, int attempt) {
+        started(now, id, attempt);
+    }
 
     /**
      * The attempt has ended after {@code took} ms; {@code over} says that the request needs no answer any
@@ -36,8 +38,8 @@
     /** The worker list could not be had, or the subscription to it has broken. */
     void listFailed(double now);
 
-    /** The result of a health check. */
-    void checked(double now, long worker, Outcome outcome, double took, Report report);
+    /** The result of a health check, for a module that asks for any. */
+    default void checked(double now, long worker, Outcome outcome, double took, Report report) { }
 
     /** A message from another dispatcher. */
     void heard(double now, int from, byte[] message);
@@ -125,9 +127,11 @@
 
     /**
      * A client's request: {@code due} is the time at which the client gives up, {@code work} the expected ms
-     * on a standard core (0 if unknown), {@code slots} and {@code memory} what the job holds while it runs.
+     * on a standard core (0 if unknown), {@code slots} and {@code memory} what the job holds while it runs,
+     * {@code object} the mark of what a worker must have at hand for it, 0 for nothing.
      */
-    record Job(String id, int jobClass, int tenant, double due, double work, double slots, double memory) {
+    record Job(String id, int jobClass, int tenant, double due, double work, double slots, double memory,
+            long object) {
         public Job {
             Check.that(id != null && !id.isEmpty(), "Job.id", id);
             Check.that(jobClass >= 0, "Job.jobClass", jobClass);
@@ -139,10 +143,26 @@
         }
     }
 
-    /** A worker's load report; NaN where a value is not reported. */
-    record Report(double freeSlots, double freeMemory, double queued) {
+    /**
+     * A worker's load report, NaN where a value is not reported: {@code queued} requests wait, {@code held} wait
+     * or run, from all dispatchers.
+     */
+    record Report(double freeSlots, double freeMemory, double queued, double held) {
         /** No report came with the event. */
-        public static final Report NONE = new Report(Double.NaN, Double.NaN, Double.NaN);
+        public static final Report NONE = new Report(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
+        /** No worker is so large; a figure beyond it, or below 0, is none. */
+        private static final double MOST = 1e6;
+
+        public Report {
+            freeSlots = figure(freeSlots);
+            freeMemory = figure(freeMemory);
+            queued = figure(queued);
+            held = figure(held);
+        }
+
+        private static double figure(double told) {
+            return told >= 0 && told <= MOST ? told : Double.NaN;
+        }
     }
 
     /**
@@ -198,17 +218,28 @@
         }
     }
 
+    /**
+     * What weighs how much in the judgement of a deployment: the worth served over all, and the share of the worst
+     * class; 0 each where that is not told.
+     */
+    record Goal(double whole, double worstClass) {
+        public Goal {
+            Check.that(whole >= 0, "Goal.whole", whole);
+            Check.that(worstClass >= 0, "Goal.worstClass", worstClass);
+        }
+    }
+
     /**
      * What a dispatcher is told at its start: its number among the {@code dispatchers}, its own zone, the
      * time between batches of events, the classes and tenants, and what the deployment permits. {@code
      * asks}: the worker list comes only to those that {@link Actions#watch watch} it. {@code tellsStart}:
      * workers report the start of each job. {@code liveWeights}: the list's weights are the workers' sizes,
      * each divided by 1 + the jobs that it holds for each core. {@code crossCharge}: the share of a request's
-     * worth that crossing zones costs.
+     * worth that crossing zones costs; {@code goal}: what the deployment is judged by.
      */
     record Settings(int me, int dispatchers, int zone, double roundMs, List<JobClass> classes,
             List<Tenant> tenants, Limits limits, ColdRule cold, boolean asks, boolean tellsStart,
-            boolean liveWeights, double crossCharge) {
+            boolean liveWeights, double crossCharge, Goal goal) {
         public Settings {
             Check.that(dispatchers >= 1, "Settings.dispatchers", dispatchers);
             Check.that(me >= 0 && me < dispatchers, "Settings.me", me);
@@ -219,6 +250,7 @@
             Check.that(limits != null, "Settings.limits", limits);
             Check.that(cold != null, "Settings.cold", cold);
             Check.that(crossCharge >= 0, "Settings.crossCharge", crossCharge);
+            Check.that(goal != null, "Settings.goal", goal);
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
         }
--- a/decisions/src/main/java/ferngrade/Notes.java
+++ b/decisions/src/main/java/ferngrade/Notes.java
@@ -26,7 +26,6 @@
         double slowness = 1;
         int outcomes;
         double holdUntil = Double.NEGATIVE_INFINITY;
-        double hold;
         double ejectedUntil = Double.NEGATIVE_INFINITY;
         double ejection;
         /** Until when, by class, it gets no jobs of a class that it did not take, and for how long next time. */
@@ -43,6 +42,7 @@
         /** Slots that began here since the last cycle, and a second. */
         double starts;
         double startRate;
+        final Objects objects = new Objects();
 
         Node(Worker entry, int classes) {
             this.shunnedUntil = new double[classes];
@@ -68,7 +68,7 @@
         double wait;
         double slowness = 1;
         boolean known;
-        /** The weight of a worker of this kind that holds nothing: its size. */
+        /** The weight of a worker of this kind that holds nothing, or the slots that one reports: its size. */
         double size;
     }
 
--- a/decisions/src/test/java/ferngrade/Fixture.java
+++ b/decisions/src/test/java/ferngrade/Fixture.java
@@ -3,6 +3,7 @@
 import ferngrade.Dispatcher.Actions;
 import ferngrade.Dispatcher.ColdRule;
 import ferngrade.Dispatcher.Effect;
+import ferngrade.Dispatcher.Goal;
 import ferngrade.Dispatcher.Job;
 import ferngrade.Dispatcher.JobClass;
 import ferngrade.Dispatcher.Limits;
@@ -35,7 +36,8 @@
     static Settings settings(int me, int dispatchers, JobClass jobClass, List<Tenant> tenants, boolean secondCopies,
             boolean loads) {
         Limits limits = new Limits(3, secondCopies, true, true, true, 1_000);
-        return new Settings(me, dispatchers, 0, 2, List.of(jobClass), tenants, limits, COLD, false, true, loads, 0.01);
+        return new Settings(me, dispatchers, 0, 2, List.of(jobClass), tenants, limits, COLD, false, true, loads, 0.01,
+                new Goal(0.5, 0.2));
     }
 
     static Worker worker(long id, int zone, int cell) {
@@ -47,7 +49,7 @@
     }
 
     static Job job(String id, int tenant, double due) {
-        return new Job(id, 0, tenant, due, 0, 1, 0);
+        return new Job(id, 0, tenant, due, 0, 1, 0, 0);
     }
 
     record Send(String id, long worker) { }
--- a/decisions/src/test/java/ferngrade/ModuleLimitsTest.java
+++ b/decisions/src/test/java/ferngrade/ModuleLimitsTest.java
@@ -6,22 +6,30 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** The limits that keep the module readable. */
 class ModuleLimitsTest {
-    private static final Path MODULE = Path.of("src/main/java/ferngrade/Choice.java");
+    private static final Path FOLDER = Path.of("src/main/java/ferngrade");
+
+    /** The policy files that deploy/balancer.toml names. */
+    private static List<String> module() throws IOException {
+        List<String> lines = new ArrayList<>(Files.readAllLines(FOLDER.resolve("Choice.java")));
+        lines.addAll(Files.readAllLines(FOLDER.resolve("Objects.java")));
+        return lines;
+    }
 
     @Test
     void moduleHoldsAtMost950Lines() throws IOException {
-        long lines = Files.readAllLines(MODULE).stream().filter(line -> !line.isBlank()).count();
+        long lines = module().stream().filter(line -> !line.isBlank()).count();
         assertTrue(lines > 0 && lines <= 950, "non-blank lines: " + lines);
     }
 
     @Test
     void noLineOfTheModuleRunsPast110Characters() throws IOException {
-        List<String> wide = Files.readAllLines(MODULE).stream().filter(line -> line.length() > 110).toList();
+        List<String> wide = module().stream().filter(line -> line.length() > 110).toList();
         assertEquals(List.of(), wide);
     }
 }
--- a/decisions/src/test/java/ferngrade/RandomStreamTest.java
+++ b/decisions/src/test/java/ferngrade/RandomStreamTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ferngrade.Dispatcher.Effect;
+import ferngrade.Dispatcher.Goal;
 import ferngrade.Dispatcher.Job;
 import ferngrade.Dispatcher.JobClass;
 import ferngrade.Dispatcher.Limits;
@@ -162,7 +163,8 @@
             }
         }
         Settings settings = new Settings(0, 9, 0, 2, classes, List.of(new Tenant("a", 0.7, 9), new Tenant("b", 0, 0)),
-                new Limits(3, secondCopies, true, false, true, 0), Fixture.COLD, seed % 3 == 0, true, live, 0.05);
+                new Limits(3, secondCopies, true, false, true, 0), Fixture.COLD, seed % 3 == 0, true, live, 0.05,
+                new Goal(0.5, 0.2));
         Choice choice = new Choice(settings, seed, now, new Checker());
         members(choice, random, News.STORED);
         for (int i = 0; i < 1_500; i++) {
@@ -182,7 +184,8 @@
             int jobClass = random.nextInt(classes.size());
             double due = now + 50 + random.nextInt((int) DEADLINE - 50);
             open.put(id, new Entry(classes.get(jobClass), due));
-            choice.arrived(now, new Job(id, jobClass, random.nextInt(2), due, random.nextInt(3) * 10.0, 1, 0));
+            choice.arrived(now, new Job(id, jobClass, random.nextInt(2), due, random.nextInt(3) * 10.0, 1, 0,
+                    random.nextInt(4)));
         } else if (kind < 18) {
             resolveOne(choice, random);
         } else if (kind == 18) {
--- a/decisions/src/test/java/ferngrade/RulesTest.java
+++ b/decisions/src/test/java/ferngrade/RulesTest.java
@@ -73,14 +73,15 @@
     void workerThatHangsOnOneClassGetsNoMoreOfItAndKeepsTheOthers() {
         var classes = List.of(Fixture.jobClass(Effect.UNSAFE, Scope.ALL), Fixture.jobClass(Effect.SAFE, Scope.ALL));
         Choice choice = new Choice(new Dispatcher.Settings(0, 1, 0, 2, classes, List.of(), Fixture.settings(0, 1,
-                classes.get(0)).limits(), Fixture.COLD, false, true, true, 0.01), 7, 0, out);
+                classes.get(0)).limits(), Fixture.COLD, false, true, true, 0.01,
+                new Dispatcher.Goal(0.5, 0.2)), 7, 0, out);
         choice.members(0, News.STORED, FLEET);
         choice.arrived(10, Fixture.job("hangs", 0, 5_010));
         long worker = out.last().worker();
         choice.progressed(500, "hangs", 0, 0.1);
         choice.ended(1_010, "hangs", 0, Outcome.TIMEOUT, 1_000, false, Report.NONE);
         for (int i = 0; i < 60; i++) {
-            choice.arrived(1_020, new Dispatcher.Job("r" + i, i % 2, 0, 6_000, 0, 1, 0));
+            choice.arrived(1_020, new Dispatcher.Job("r" + i, i % 2, 0, 6_000, 0, 1, 0, 0));
         }
         List<Fixture.Send> toIt = out.sends.stream().skip(1).filter(send -> send.worker() == worker).toList();
         assertTrue(toIt.stream().noneMatch(send -> Integer.parseInt(send.id().substring(1)) % 2 == 0), "" + toIt);
@@ -264,7 +265,8 @@
 
     @Test
     void workerThatReportsNoRoomIsPassedOver() {
-        for (Report none : List.of(new Report(0, Double.NaN, Double.NaN), new Report(Double.NaN, 0, Double.NaN))) {
+        for (Report none : List.of(new Report(0, Double.NaN, Double.NaN, Double.NaN),
+                new Report(Double.NaN, 0, Double.NaN, Double.NaN))) {
             Choice choice = choice(Effect.UNSAFE, Scope.ALL, false);
             choice.arrived(10, Fixture.job("a", 0, 5_010));
             long busy = out.last().worker();
@@ -359,7 +361,7 @@
         assertTrue(me.getMessage().contains("Settings.me"));
         Choice choice = choice(Effect.SAFE, Scope.ALL, false);
         Exception range = assertThrows(IllegalArgumentException.class,
-                () -> choice.arrived(1, new Dispatcher.Job("x", 9, 0, 10, 0, 1, 0)));
+                () -> choice.arrived(1, new Dispatcher.Job("x", 9, 0, 10, 0, 1, 0, 0)));
         assertTrue(range.getMessage().contains("Job.jobClass"));
     }
 }
--- a/emulator/src/main/java/ferngrade/emulator/Scenario.java
+++ b/emulator/src/main/java/ferngrade/emulator/Scenario.java
@@ -2,6 +2,7 @@
 
 import ferngrade.Dispatcher.ColdRule;
 import ferngrade.Dispatcher.Effect;
+import ferngrade.Dispatcher.Goal;
 import ferngrade.Dispatcher.Limits;
 import ferngrade.Dispatcher.Settings;
 import ferngrade.Dispatcher.Tenant;
@@ -150,6 +151,6 @@
                 workload.classes.stream().map(ClassSpec::jobClass).toList(), tenants,
                 new Limits(tries, secondCopies, cancel, true, peers, retryAfterMax),
                 new ColdRule(startCapacity, coldMs, fallMultiple, tipMs), false, true,
-                discovery.weightPeriod > 0, crossCharge);
+                discovery.weightPeriod > 0, crossCharge, new Goal(0, 0));
     }
 }
--- a/emulator/src/main/java/ferngrade/emulator/WorkerModel.java
+++ b/emulator/src/main/java/ferngrade/emulator/WorkerModel.java
@@ -252,7 +252,7 @@
         double now = time.now();
         if (now - reportedAt >= kind.reportPeriod) {
             reportedAt = now;
-            report = new Report(noisy(freeSlots()), Double.NaN, noisy(waiting.size()));
+            report = new Report(noisy(freeSlots()), Double.NaN, noisy(waiting.size()), Double.NaN);
         }
         return report;
     }
--- a/node/src/main/java/ferngrade/config/SettingsMapping.java
+++ b/node/src/main/java/ferngrade/config/SettingsMapping.java
@@ -7,6 +7,7 @@
 import com.eclipsesource.json.JsonValue;
 import ferngrade.Dispatcher.ColdRule;
 import ferngrade.Dispatcher.Effect;
+import ferngrade.Dispatcher.Goal;
 import ferngrade.Dispatcher.JobClass;
 import ferngrade.Dispatcher.Limits;
 import ferngrade.Dispatcher.Scope;
@@ -97,7 +98,8 @@
         return new Settings((int) number("Me", 0), (int) number("Balancers", 1), (int) number("Locality", 0),
                 number("Round", 0), classes(), tenants(), limits, cold, "ask".equals(values.get("Discovery")),
                 flag("Extra.TellsStart"), "live".equals(values.get("WeightKind")),
-                number("Charges.CrossZone", 0));
+                number("Charges.CrossZone", 0),
+                new Goal(number("ResultMix.Whole", 0), number("ResultMix.WorstClass", 0)));
     }
 
     private List<JobClass> classes() {
--- a/node/src/main/java/ferngrade/net/LoadReport.java
+++ b/node/src/main/java/ferngrade/net/LoadReport.java
@@ -13,16 +13,18 @@
         double slots = Double.NaN;
         double memory = Double.NaN;
         double queued = Double.NaN;
+        double held = Double.NaN;
         for (String pair : text.split(",")) {
             int equals = pair.indexOf('=');
             switch (pair.substring(0, Math.max(0, equals)).strip()) {
                 case "x0" -> slots = value(pair, equals);
                 case "x1" -> memory = value(pair, equals);
                 case "queue" -> queued = value(pair, equals);
+                case "inflight" -> held = value(pair, equals);
                 default -> { }
             }
         }
-        return new Report(slots, memory, queued);
+        return new Report(slots, memory, queued, held);
     }
 
     private static double value(String pair, int equals) {
--- a/node/src/main/java/ferngrade/net/NewsReader.java
+++ b/node/src/main/java/ferngrade/net/NewsReader.java
@@ -42,6 +42,6 @@
         }
         JsonObject fields = load.asObject();
         return new Report(fields.getDouble("x0", Double.NaN), fields.getDouble("x1", Double.NaN),
-                fields.getDouble("queue", Double.NaN));
+                fields.getDouble("queue", Double.NaN), fields.getDouble("inflight", Double.NaN));
     }
 }
--- a/node/src/main/java/ferngrade/net/RequestReader.java
+++ b/node/src/main/java/ferngrade/net/RequestReader.java
@@ -8,8 +8,11 @@
 import ferngrade.node.Call;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.cookie.Cookie;
+import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +30,8 @@
     private static final Pattern FIGURE = Pattern.compile("[0-9]{1,18}(\\.[0-9]{1,18})?");
     /** The most slots a job may ask for: a wild figure would outweigh all other jobs in the module's sums. */
     private static final double MOST_SLOTS = 1024;
+    /** The cookie that names what a request is about. */
+    private static final String OBJECT = "obj";
 
     private final Settings settings;
     private final Map<String, Integer> classes;
@@ -71,7 +76,7 @@
         double work = cost == null ? 0 : Math.min(longest, amount(Headers.COST, cost) / 1000);
         Map<String, Double> extras = extras(one(headers, Headers.EXTRA));
         return new Job(id, jobClass, tenant, now + deadline, work, extras.getOrDefault("slots", 1.0),
-                extras.getOrDefault("memory", 0.0));
+                extras.getOrDefault("memory", 0.0), object(headers.get(HttpHeaderNames.COOKIE)));
     }
 
     static Call call(FullHttpRequest request, String id) {
@@ -97,6 +102,18 @@
         return position;
     }
 
+    /** What the request is about, 0 where no cookie tells it; a cookie that cannot be read tells nothing. */
+    private static long object(String cookies) {
+        if (cookies != null) {
+            for (Cookie cookie : ServerCookieDecoder.LAX.decode(cookies)) {
+                if (cookie.name().equals(OBJECT)) {
+                    return cookie.value().hashCode();
+                }
+            }
+        }
+        return 0;
+    }
+
     /** A time in ms from a number and its unit: {@code m} for milliseconds, {@code u} for microseconds. */
     private static double deadline(String text) throws BadRequestException {
         String number = text.isEmpty() ? "" : text.substring(0, text.length() - 1);
--- a/node/src/main/java/ferngrade/wire/WireHost.java
+++ b/node/src/main/java/ferngrade/wire/WireHost.java
@@ -143,14 +143,15 @@
         String id = in.text("Id");
         int jobClass = in.index("Class");
         int tenant = (int) in.whole("Customer", 0);
-        in.whole("TargetKey", 0);
+        long object = in.whole("TargetKey", 0);
         double due = in.number("Due");
         double work = in.number("Predicted", 0);
         double slots = in.number("CoresNeeded", 1);
         double memory = in.number("Memory", 0);
         long marks = in.whole("Attrs", 0);
         try {
-            Job job = new Job(id, jobClass, tenant, due, (marks & 1) == 0 ? 0 : work, slots, memory);
+            Job job = new Job(id, jobClass, tenant, due, (marks & 1) == 0 ? 0 : work, slots, memory,
+                    object);
             module().arrived(now, job);
         } catch (IllegalArgumentException invalid) {
             throw in.wrong("fields", invalid.getMessage());
@@ -210,6 +211,7 @@
         double slots = Double.NaN;
         double memory = Double.NaN;
         double queued = Double.NaN;
+        double held = Double.NaN;
         for (String pair : gauge.split(",")) {
             int colon = pair.indexOf(':');
             String name = pair.substring(0, Math.max(colon, 0));
@@ -217,10 +219,11 @@
                 case "x0" -> slots = gaugeValue(pair, colon);
                 case "x1" -> memory = gaugeValue(pair, colon);
                 case "pending" -> queued = gaugeValue(pair, colon);
+                case "busy_reqs" -> held = gaugeValue(pair, colon);
                 default -> { }
             }
         }
-        return new Report(slots, memory, queued);
+        return new Report(slots, memory, queued, held);
     }
 
     private double gaugeValue(String pair, int colon) {
--- a/node/src/test/java/ferngrade/node/NodeTest.java
+++ b/node/src/test/java/ferngrade/node/NodeTest.java
@@ -253,7 +253,7 @@
     }
 
     private static Job job(String id, double due) {
-        return new Job(id, 0, 0, due, 0, 1, 0);
+        return new Job(id, 0, 0, due, 0, 1, 0, 0);
     }
 
     private static Call call(String id) {
