Count held slots by a worker's slots only where reports tell these, not by the list's sizes

Lines at fault: Choice.cost divided a dispatcher's held slots by group.size, which is the list's weight where weights are live; 14 dispatchers then crowd the large workers, each with few jobs of its own to see there. Change: Group.slots holds what reports tell, 1 where none does. The emulator gets objects that workers keep and fetch and reports that come with answers; experiments/objects.toml plays the second deployment's fleet.

--- a/decisions/src/main/java/ferngrade/Choice.java
+++ b/decisions/src/main/java/ferngrade/Choice.java
@@ -399,13 +399,13 @@
     }
 
     /**
-     * Own held slots first, each worth a mean service time over the worker's size, where that is told; then
-     * waits, learned speed, the fetch of an object and the zone's price, in ms.
+     * Own held slots first, each worth a mean service time over the worker's slots, where reports tell these:
+     * many dispatchers that go by a list's sizes crowd the large workers. Then waits, speed, fetch and zone.
      */
     private double cost(Request request, Node node, double now) {
         double mean = heldSlots / (local.size() + remote.size());
         double held = node.proven ? node.held : Math.max(node.held, mean);
-        double cost = held * service / Math.max(1, node.group.size) + expectedWait(node, now)
+        double cost = held * service / node.group.slots + expectedWait(node, now)
                 + SPEED * serviceTime(request, node)
                 + FETCH * meanWork * node.objects.missing(request.job.object(), node.id);
         if (node.entry.zone() != settings.zone()) {
@@ -437,7 +437,7 @@
         heldSlots += request.job.slots();
         node.recent = recent(node, now) + request.job.slots();
         node.recentAt = now;
-        node.objects.use(request.job.object(), node.group.size);
+        node.objects.use(request.job.object(), Math.max(node.group.size, node.group.slots));
         sent++;
         if (request.attempts.size() == 1) {
             moves = Math.min(MOVES_SAVED, moves + MOVE_SHARE);
@@ -973,14 +973,14 @@
     }
 
     /**
-     * What a worker holds is told late, and all dispatchers would send to the one that was idle a second ago:
-     * only its slots are learned from it. Where it is not told, a worker that reports no room is passed over
-     * for a moment, as long as there are others.
+     * What a worker holds is told late, and all would send to the one that was idle then: only its slots are
+     * learned. Where it is not told, a worker without room is passed over for a moment, if there are others.
      */
     private void readReport(Node node, Report report, double now) {
-        Group group = node.group;
-        if (report.held() >= 0 && report.freeSlots() >= FREE) {
-            group.size += (group.size <= 1 ? 1 : LEARN) * (report.freeSlots() + report.held() - group.size);
+        if (!settings.liveWeights() && report.held() >= 0 && report.freeSlots() >= FREE) {
+            double slots = report.freeSlots() + report.held();
+            double known = node.group.slots;
+            node.group.slots = Math.max(1, known + (known == 1 ? 1 : LEARN) * (slots - known));
         } else if (Double.isNaN(report.held()) && (report.freeSlots() < 1 || report.freeMemory() <= 0)) {
             node.holdUntil = Math.max(node.holdUntil, now + service / 4);
         }
--- a/decisions/src/main/java/ferngrade/Notes.java
+++ b/decisions/src/main/java/ferngrade/Notes.java
@@ -68,7 +68,9 @@
         double wait;
         double slowness = 1;
         boolean known;
-        /** The weight of a worker of this kind that holds nothing, or the slots that one reports: its size. */
+        /** Slots of a worker of this kind, as reports tell; 1 where none does. */
+        double slots = 1;
+        /** The weight of a worker of this kind that holds nothing: its size. */
         double size;
     }
 
--- a/decisions/src/test/java/ferngrade/LoadTest.java
+++ b/decisions/src/test/java/ferngrade/LoadTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ferngrade.Dispatcher.Effect;
+import ferngrade.Dispatcher.Job;
 import ferngrade.Dispatcher.News;
 import ferngrade.Dispatcher.Outcome;
 import ferngrade.Dispatcher.Report;
@@ -124,4 +125,27 @@
         Arrays.fill(load, 0.2);
         assertEquals(0, cycles(1, 5), "refused once the queues are gone");
     }
+
+    @Test
+    void jobsSpreadBeforeTheFastWorkersGetMoreHoweverLargeTheListSaysTheyAre() {
+        List<Worker> entries = new ArrayList<>();
+        for (int i = 0; i < WORKERS; i++) {
+            entries.add(new Worker(i, State.READY, 0, i % 2, 0, 0, SIZE));
+        }
+        choice.members(now, News.STORED, entries);
+        for (int i = 0; i < 40; i++) {
+            String id = "w" + i;
+            choice.arrived(now, new Job(id, 0, 0, now + 10_000, 1000, 1, 0, 0));
+            choice.started(now, id, 0);
+            double took = out.last().worker() % 2 == 0 ? 500 : 1000;
+            now += took;
+            choice.ended(now, id, 0, Outcome.OK, took, true, Report.NONE);
+        }
+        int from = out.sends.size();
+        for (int i = 0; i < WORKERS; i++) {
+            choice.arrived(now, new Job("b" + i, 0, 0, now + 10_000, 1000, 1, 0, 0));
+        }
+        long used = out.sends.stream().skip(from).map(Fixture.Send::worker).distinct().count();
+        assertTrue(used > WORKERS / 2, "workers used for as many jobs: " + used);
+    }
 }
--- a/emulator/src/main/java/ferngrade/emulator/Clients.java
+++ b/emulator/src/main/java/ferngrade/emulator/Clients.java
@@ -6,6 +6,8 @@
 import java.util.Arrays;
 import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
 
 /**
  * All clients: an open loop of arrivals that waits for nothing, and what each client does with its answer. A latency
@@ -25,6 +27,7 @@
     private final UniformRandomProvider arrivals;
     private final UniformRandomProvider jobs;
     private final UniformRandomProvider habits;
+    private final DiscreteSampler objects;
     private final double start;
     private final double rate;
     private final double[] classShares;
@@ -64,6 +67,8 @@
         this.arrivals = streams.stream("arrivals");
         this.jobs = streams.stream("jobs");
         this.habits = streams.stream("habits");
+        this.objects = spec.objects == 0 ? null
+                : RejectionInversionZipfSampler.of(streams.stream("objects"), spec.objects, spec.objectSkew);
         this.start = time.now();
         this.rate = scenario.rate();
         this.classShares = spec.classes.stream().mapToDouble(each -> each.share).toArray();
@@ -195,7 +200,8 @@
         double worth = each.worth * work * (within ? 1 : spec.overShareWorth);
         String key = each.effect == Effect.KEYED ? "k" + Long.toHexString(idBase << 32 | numbers) : null;
         Request request = new Request(id(), jobClass, tenant, pick(zones, surges), work,
-                work * hints.get(jobClass).draw(jobs), key, now, now + each.deadline, worth, null);
+                work * hints.get(jobClass).draw(jobs), key, now, now + each.deadline, worth,
+                objects == null ? 0 : objects.sample(), null);
         submit(request);
     }
 
@@ -261,7 +267,7 @@
         }
         time.after(wait, () -> {
             submit(new Request(id(), last.jobClass, last.tenant, last.zone, last.work, last.hint, last.key,
-                    time.now(), last.first.deadline, last.worth, last.first));
+                    time.now(), last.first.deadline, last.worth, last.object, last.first));
         });
     }
 }
--- a/emulator/src/main/java/ferngrade/emulator/Fleet.java
+++ b/emulator/src/main/java/ferngrade/emulator/Fleet.java
@@ -66,7 +66,8 @@
             observer.reached(time.now(), worker, request, informed);
         }
         double work = request.work * noise.get(request.jobClass).draw(chance);
-        WorkerModel.Work asked = new WorkerModel.Work(request.id, work, spec.slots, spec.priority);
+        WorkerModel.Work asked = new WorkerModel.Work(request.id, work, spec.slots, spec.priority,
+                request.object, scenario.workload.fetch * scenario.workload.meanWork());
         if (spec.effect != Effect.KEYED || request.key == null) {
             return worker.model.offer(asked, informed, ear);
         }
--- a/emulator/src/main/java/ferngrade/emulator/KindSpec.java
+++ b/emulator/src/main/java/ferngrade/emulator/KindSpec.java
@@ -49,10 +49,16 @@
     public double reportPeriod = 50;
     @Quantity(Quantity.Measure.SHARE)
     public double reportNoise = 0.05;
+    /** Whether its news of an end brings the report, with the requests that it holds. */
+    public boolean reportsWithAnswers;
     /** Time between progress reports; none if 0. */
     @Quantity(Quantity.Measure.TIME)
     public double progressMs = 1000;
 
+    /** Objects that it keeps for each slot, those used last. */
+    @Quantity(Quantity.Measure.POSITIVE)
+    public double keptPerSlot = 0.85;
+
     /** The order in which a queue is served. */
     public enum Order { FIFO, BACKFILL, PRIORITY }
 
@@ -61,6 +67,11 @@
         return (int) Math.max(1, Math.round(cores * slotsPerCore));
     }
 
+    /** The objects that it keeps. */
+    public int kept() {
+        return (int) Math.max(1, Math.round(slots() * keptPerSlot));
+    }
+
     /** The places in its queue. */
     public int queue() {
         return (int) Math.max(0, Math.round(cores * queuePerCore));
--- a/emulator/src/main/java/ferngrade/emulator/Request.java
+++ b/emulator/src/main/java/ferngrade/emulator/Request.java
@@ -34,6 +34,8 @@
     /** The first try, itself for a first one, and how many came before. */
     public final Request first;
     public final int tries;
+    /** What it is about, 0 for nothing. */
+    public final long object;
     /** What its answer is worth, with the tenant's share taken into account. */
     public final double worth;
     /** The node that it goes to; -1 before the front has picked one. */
@@ -43,7 +45,7 @@
     Scheduler.Handle patience;
 
     Request(String id, int jobClass, int tenant, int zone, double work, double hint, String key, double due,
-            double deadline, double worth, Request first) {
+            double deadline, double worth, long object, Request first) {
         this.id = id;
         this.jobClass = jobClass;
         this.tenant = tenant;
@@ -54,6 +56,7 @@
         this.due = due;
         this.deadline = deadline;
         this.worth = worth;
+        this.object = object;
         this.first = first == null ? this : first;
         this.tries = first == null ? 0 : first.retries + 1;
         if (first != null) {
--- a/emulator/src/main/java/ferngrade/emulator/VirtualNode.java
+++ b/emulator/src/main/java/ferngrade/emulator/VirtualNode.java
@@ -136,7 +136,7 @@
         run.observer.taken(now, number, request);
         ClassSpec spec = run.scenario.workload.classes.get(request.jobClass);
         Job job = new Job(request.id, request.jobClass, request.tenant, now + request.deadline - request.due,
-                request.hint, spec.slots, 0, 0);
+                request.hint, spec.slots, 0, run.scenario.workload.tellObjects ? request.object : 0);
         Call call = new Call(request.id, "POST", "/api", request.key, NO_BODY);
         Reply reply = run.mutation.reply(new ClientReply(request), run.time, replies++);
         if (!node.request(job, call, reply)) {
--- a/emulator/src/main/java/ferngrade/emulator/VirtualWorkers.java
+++ b/emulator/src/main/java/ferngrade/emulator/VirtualWorkers.java
@@ -280,7 +280,8 @@
                 }
                 return;
             }
-            News news = new News(request.id, worker.name, state, share, state == State.DONE ? "done" : "", Report.NONE);
+            News news = new News(request.id, worker.name, state, share, state == State.DONE ? "done" : "",
+                    outcome != null && worker.model.reportsWithAnswers() ? worker.model.report() : Report.NONE);
             run.time.after(way, node.here(() -> {
                 if (outcome != null && !over && !givenUp) {
                     end(outcome);
--- a/emulator/src/main/java/ferngrade/emulator/WorkerModel.java
+++ b/emulator/src/main/java/ferngrade/emulator/WorkerModel.java
@@ -5,7 +5,9 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -26,6 +28,7 @@
     private final List<Task> running = new ArrayList<>();
     private final List<Task> waiting = new ArrayList<>();
     private final Deque<Push> pushes = new ArrayDeque<>();
+    private final Set<Long> objects = new LinkedHashSet<>();
     private final double fallMultiple;
     private final double tipMs;
     private final DoubleConsumer whenFallen;
@@ -66,8 +69,8 @@
         void lost();
     }
 
-    /** What the process is to do. */
-    public record Work(String id, double amount, int slots, int priority) { }
+    /** What the process is to do: {@code fetch} more work if it has not got the {@code object}, 0 for none. */
+    public record Work(String id, double amount, int slots, int priority, long object, double fetch) { }
 
     private record Push(double at, double work, boolean informed) { }
 
@@ -201,6 +204,7 @@
         startedAt = time.now();
         settledAt = startedAt;
         pushes.clear();
+        objects.clear();
         pushed = 0;
         pushedInformed = 0;
     }
@@ -235,6 +239,11 @@
         return startedAt;
     }
 
+    /** True if its answers bring its report. */
+    public boolean reportsWithAnswers() {
+        return kind.reportsWithAnswers;
+    }
+
     public int running() {
         return running.size();
     }
@@ -252,7 +261,8 @@
         double now = time.now();
         if (now - reportedAt >= kind.reportPeriod) {
             reportedAt = now;
-            report = new Report(noisy(freeSlots()), Double.NaN, noisy(waiting.size()), Double.NaN);
+            report = new Report(noisy(freeSlots()), Double.NaN, noisy(waiting.size()),
+                    kind.reportsWithAnswers ? noisy(running.size() + waiting.size()) : Double.NaN);
         }
         return report;
     }
@@ -319,7 +329,7 @@
         running.add(task);
         slotsTaken += task.work.slots();
         task.startedAtServed = served;
-        task.endsAtServed = served + task.work.amount();
+        task.endsAtServed = served + task.work.amount() + (has(task.work.object()) ? 0 : task.work.fetch());
         if (!hung) {
             task.ear.started();
             if (kind.progressMs > 0) {
@@ -328,6 +338,19 @@
         }
     }
 
+    /** True if the object is at hand, as it is from here on in place of the one not used for longest. */
+    private boolean has(long object) {
+        if (object == 0) {
+            return true;
+        }
+        boolean had = objects.remove(object);
+        objects.add(object);
+        if (objects.size() > kind.kept()) {
+            objects.remove(objects.iterator().next());
+        }
+        return had;
+    }
+
     /** Brings the work served up to the present. */
     private void settle() {
         double now = time.now();
--- a/emulator/src/main/java/ferngrade/emulator/WorkloadSpec.java
+++ b/emulator/src/main/java/ferngrade/emulator/WorkloadSpec.java
@@ -32,6 +32,13 @@
     public double overShareWorth = 0.05;
     @Quantity(Quantity.Measure.POSITIVE)
     public double quota = 0.85;
+    /** How many objects jobs are about, 0 for none, and the exponent of Zipf's law by which they are asked for. */
+    public int objects;
+    public double objectSkew = 1;
+    /** What a fetch costs a worker that has not got the object, as a share of the mean job. */
+    public double fetch = 0.9;
+    /** Whether jobs name their object to the nodes. */
+    public boolean tellObjects = true;
     public List<ClassSpec> classes = new ArrayList<>();
     public List<TenantSpec> tenants = new ArrayList<>();
     /** Arrivals taken from a trace in place of drawn ones; empty for none. */
--- a/emulator/src/main/java/ferngrade/emulator/socket/ClientSockets.java
+++ b/emulator/src/main/java/ferngrade/emulator/socket/ClientSockets.java
@@ -90,6 +90,9 @@
         if (request.key != null) {
             message.headers().set("Idempotency-Key", request.key);
         }
+        if (request.object != 0 && scenario.workload.tellObjects) {
+            message.headers().set(HttpHeaderNames.COOKIE, "obj=" + Long.toHexString(request.object));
+        }
         return message;
     }
 
--- a/emulator/src/test/java/ferngrade/emulator/WorkerModelTest.java
+++ b/emulator/src/test/java/ferngrade/emulator/WorkerModelTest.java
@@ -38,7 +38,7 @@
     }
 
     private boolean offer(WorkerModel worker, String id, double work, int slots, int priority) {
-        return worker.offer(new WorkerModel.Work(id, work, slots, priority), true, new WorkerModel.Ear() {
+        return worker.offer(new WorkerModel.Work(id, work, slots, priority, 0, 0), true, new WorkerModel.Ear() {
             @Override
             public void started() {
                 heard.add(id + " started");
@@ -71,6 +71,28 @@
         });
     }
 
+    private double tookAbout(WorkerModel worker, long object) {
+        double from = time.now();
+        assertTrue(worker.offer(new WorkerModel.Work("o" + from, 100, 1, 0, object, 70), true,
+                WorkerModel.ending(silent(), end -> ends.put("o" + from, time.now()))));
+        time.run(from + 1000);
+        return ends.get("o" + from) - from;
+    }
+
+    @Test
+    void aJobPaysForAFetchUnlessItsObjectIsAmongThoseUsedLast() {
+        KindSpec kind = kind();
+        kind.keptPerSlot = 1;
+        WorkerModel worker = worker(kind, 0);
+        assertEquals(170, tookAbout(worker, 1), 1e-6);
+        assertEquals(100, tookAbout(worker, 1), 1e-6);
+        assertEquals(170, tookAbout(worker, 2), 1e-6);
+        assertEquals(100, tookAbout(worker, 1), 1e-6);
+        assertEquals(170, tookAbout(worker, 3), 1e-6);
+        assertEquals(170, tookAbout(worker, 2), 1e-6, "the third took the place of the one not used for longest");
+        assertEquals(100, tookAbout(worker, 0), 1e-6, "a job that is about nothing fetches nothing");
+    }
+
     @Test
     void slotsRunSideBySideTheQueueWaitsAndBeyondItIsFull() {
         WorkerModel worker = worker(kind(), 0);
@@ -129,7 +151,7 @@
         double all = 0;
         for (int work : works) {
             all += work;
-            worker.offer(new WorkerModel.Work("x", work, 1, 0), true, WorkerModel.ending(silent(), end -> last[0] = clock.now()));
+            worker.offer(new WorkerModel.Work("x", work, 1, 0, 0, 0), true, WorkerModel.ending(silent(), end -> last[0] = clock.now()));
         }
         clock.run(1e6);
         // The integral of the warmth from the offer to the last end, summed in small steps, is the work.
