Test that nobody is ejected where all workers are slow at once

Need: one of the hard cases of the second deployment had no test. 32 jobs over four workers, all late, eight of them timed out in the queue: no worker may be out. A module that ejects for such time-outs is found by it.

--- a/decisions/src/test/java/ferngrade/ObjectsTest.java
+++ b/decisions/src/test/java/ferngrade/ObjectsTest.java
@@ -142,6 +142,25 @@
         }
     }
 
+    @Test
+    void nobodyIsEjectedWhereAllAreSlowAtOnce() {
+        Choice choice = warm(0);
+        int first = ids;
+        for (int i = 0; i < 32; i++) {
+            send(choice, 100 + i);
+        }
+        // All tell their starts a second late and end at four times their work; the last run out of time in the queue.
+        for (int i = first; i < first + 32; i++) {
+            if (i < first + 24) {
+                choice.started(now + 1000, "r" + i, 0);
+                choice.ended(now + 1000 + 4 * WORK, "r" + i, 0, Outcome.OK, 1000 + 4 * WORK, true, FOUR_SLOTS);
+            } else {
+                choice.ended(now + 5_000, "r" + i, 0, Outcome.TIMEOUT, 5_000, false, Report.NONE);
+            }
+        }
+        assertEquals(0, choice.excluded(now + 5_000));
+    }
+
     /** The share of each class that is taken of 40 jobs each, offered at several times the slice. */
     private double[] taken(Goal goal) {
         List<JobClass> classes = List.of(new JobClass("low", Effect.SAFE, Scope.ALL, 0, 100, 2, 5_000, 2, 0.5, -1, 0),
