--- a/decisions/src/main/java/ferngrade/Choice.java
+++ b/decisions/src/main/java/ferngrade/Choice.java
@@ -44,6 +44,8 @@
     private static final double LEAST_BUSY = 0.05;
     /** Jobs queued for each core from which on a fleet is crowded, where passing over queues feeds others. */
     private static final double DEEP = 0.35;
+    /** What a cycle leaves of the work counted by class: who goes first follows the last half minute. */
+    private static final double CLASS_MEMORY = 0.985;
     /** Weight of one job in the mean work: cold budgets go by it, and must not swing with single jobs. */
     private static final double WORK_WEIGHT = 0.02;
     /** Ms in which the list comes to show a job sent. */
@@ -134,10 +136,9 @@
         this.classService = new double[settings.classes().size()];
         this.classWork = new double[classService.length];
         this.lastCycle = now;
-        int tenants = Math.max(1, settings.tenants().size());
-        for (int i = 0; i < tenants; i++) {
-            double share = settings.tenants().isEmpty() ? 1 : settings.tenants().get(i).share();
-            shares.add(new Share(Math.max(share, LEAST_SHARE)));
+        settings.tenants().forEach(each -> shares.add(new Share(Math.max(each.share(), LEAST_SHARE))));
+        if (shares.isEmpty()) {
+            shares.add(new Share(1));
         }
         this.weights = shares.stream().mapToDouble(share -> share.weight).toArray();
         this.peers = PeerGraph.links(settings.me(), settings.dispatchers());
@@ -176,6 +177,7 @@
             share.demand += (cycle == 1 ? 1 : DEMAND_WEIGHT) * (share.asked / seconds - share.demand);
             share.asked = 0;
         }
+        Arrays.setAll(classWork, i -> classWork[i] * CLASS_MEMORY);
         double share = fleetShare(seconds, now);
         if (loads) {
             slice = Math.max(FLOOR, slice + SETTLE * (share - slice));
@@ -339,9 +341,7 @@
             worth += classWork[i] * settings.classes().get(i).worth();
             work += classWork[i];
         }
-        double each = settings.classes().get(jobClass).worth();
-        double others = work - classWork[jobClass];
-        double gain = each * others - (worth - classWork[jobClass] * each);
+        double gain = settings.classes().get(jobClass).worth() * work - worth;
         return settings.goal().whole() * gain > settings.goal().worstClass() * worth;
     }
 
@@ -724,8 +724,7 @@
 
     /** A worker that fails fast looks idle and would draw every job: it is left out, longer each time. */
     private void eject(Node node, double now) {
-        long out = nodes.values().stream().filter(each -> each.told && each.ejectedUntil > now).count();
-        if (node.ejectedUntil > now || out >= EJECT_SHARE * (local.size() + remote.size())) {
+        if (node.ejectedUntil > now || excluded(now) >= EJECT_SHARE * (local.size() + remote.size())) {
             return;
         }
         node.ejection = Math.min(EJECT_MOST, Math.max(EJECT_FIRST, 2 * node.ejection));
@@ -974,14 +973,15 @@
 
     /**
      * What a worker holds is told late, and all would send to the one that was idle then: only its slots are
-     * learned. Where it is not told, a worker without room is passed over for a moment, if there are others.
+     * learned. A worker without memory, or slots where that is not told, is passed over for a moment.
      */
     private void readReport(Node node, Report report, double now) {
         if (!settings.liveWeights() && report.held() >= 0 && report.freeSlots() >= FREE) {
             double slots = report.freeSlots() + report.held();
             double known = node.group.slots;
             node.group.slots = Math.max(1, known + (known == 1 ? 1 : LEARN) * (slots - known));
-        } else if (Double.isNaN(report.held()) && (report.freeSlots() < 1 || report.freeMemory() <= 0)) {
+        }
+        if (report.freeMemory() <= 0 || Double.isNaN(report.held()) && report.freeSlots() < 1) {
             node.holdUntil = Math.max(node.holdUntil, now + service / 4);
         }
     }
--- a/node/src/test/java/ferngrade/net/DiscoveryWatchTest.java
+++ b/node/src/test/java/ferngrade/net/DiscoveryWatchTest.java
@@ -6,6 +6,7 @@
 
 import com.eclipsesource.json.Json;
 import ferngrade.Choice;
+import ferngrade.Dispatcher.News;
 import ferngrade.config.MemberReader;
 import ferngrade.config.SettingsMapping;
 import ferngrade.node.Log;
@@ -19,47 +20,122 @@
 import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** A watch of the worker list, on a clock that the story sets. */
 public class DiscoveryWatchTest {
     private volatile double now;
+    private MultiThreadIoEventLoopGroup group;
+    private EventLoop loop;
+    private Timers timers;
+    private ServerSocket discovery;
+    private Node node;
+
+    @BeforeMethod
+    public void listen() throws Exception {
+        now = 0;
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        loop = group.next();
+        timers = new Timers(() -> now, (millis, run) -> { });
+        discovery = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        node = loop.submit(() -> start(group, loop, timers,
+                new InetSocketAddress(discovery.getInetAddress(), discovery.getLocalPort()))).get();
+    }
+
+    @AfterMethod
+    public void end() throws Exception {
+        discovery.close();
+        group.shutdownGracefully(0, 1000, TimeUnit.MILLISECONDS).await();
+    }
+
+    private static String chunk(String lines) {
+        return Integer.toHexString(lines.length()) + "\r\n" + lines + "\r\n";
+    }
+
+    private static String list(long revision, boolean whole, String id, String phase) {
+        return chunk("{\"revision\":" + revision + ",\"complete\":" + whole + ",\"members\":[{\"id\":\"" + id
+                + "\",\"host_port\":\"127.0.0.1:9\",\"phase\":\"" + phase + "\"}]}\n");
+    }
+
+    private void awaitReady(boolean ready) throws Exception {
+        while (loop.submit(node::ready).get() != ready) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Lets this many ms pass, in steps: the next try is due a moment after the end of a connection has been seen. */
+    private void pass(double millis) throws Exception {
+        double until = now + millis;
+        while (loop.submit(() -> {
+            now += 100;
+            timers.run();
+            return now;
+        }).get() < until) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private RawHttp accept(String request) throws Exception {
+        RawHttp watch = new RawHttp(discovery.accept());
+        assertEquals(watch.read().start(), request);
+        return watch;
+    }
+
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String WHOLE = "GET /api/targets?watch=1 HTTP/1.1";
 
     @Test(timeOut = 30_000)
-    public void watchThatMissesOneSignOfLifeIsOpenedAnewFromItsVersion() throws Exception {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        EventLoop loop = group.next();
-        try (ServerSocket discovery = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            Timers timers = new Timers(() -> now, (millis, run) -> { });
-            Node node = loop.submit(() -> start(group, loop, timers,
-                    new InetSocketAddress(discovery.getInetAddress(), discovery.getLocalPort()))).get();
-            try (RawHttp first = new RawHttp(discovery.accept())) {
-                assertEquals(first.read().start(), "GET /api/targets?watch=1 HTTP/1.1");
-                String list = "{\"revision\":41,\"complete\":true,\"members\":[{\"id\":\"s-1\","
-                        + "\"host_port\":\"127.0.0.1:9\",\"phase\":\"active\"}]}\n";
-                first.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                        + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
-                while (!loop.submit(node::ready).get()) {
-                    Thread.onSpinWait();
-                }
-                now = 2_600;
-                loop.submit(timers::run).get();
-                assertNull(first.read());
-            }
-            // The next try is due a moment after the end of the connection has been seen.
-            while (loop.submit(() -> {
-                now += 100;
-                timers.run();
-                return now;
-            }).get() < 3_500) {
-                Thread.onSpinWait();
-            }
-            try (RawHttp again = new RawHttp(discovery.accept())) {
-                assertEquals(again.read().start(), "GET /api/targets?watch=1&from=41 HTTP/1.1");
-            }
+    public void watchThatMissesOneSignOfLifeIsOpenedAnewAndTellsWhoDiedAndWhoStartedMeanwhile() throws Exception {
+        try (RawHttp first = accept(WHOLE)) {
+            first.write(HEAD + list(41, true, "s-1", "active"));
+            awaitReady(true);
+            now = 2_600;
+            loop.submit(timers::run).get();
+            assertNull(first.read());
+        }
+        pass(900);
+        try (RawHttp again = accept("GET /api/targets?watch=1&from=41 HTTP/1.1")) {
             assertTrue(loop.submit(node::ready).get(), "the last list stays");
-        } finally {
-            group.shutdownGracefully(0, 1000, TimeUnit.MILLISECONDS).await();
+            again.write(HEAD + list(43, false, "s-1", "left"));
+            awaitReady(false);
+            again.write(list(44, false, "s-2", "active"));
+            awaitReady(true);
+        }
+    }
+
+    @Test(timeOut = 30_000)
+    public void watchThatEndsIn503IsAskedForAgainAndTheLastListStays() throws Exception {
+        try (RawHttp refused = accept(WHOLE)) {
+            refused.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+            assertNull(refused.read());
+        }
+        pass(900);
+        try (RawHttp watch = accept(WHOLE)) {
+            watch.write(HEAD + list(41, true, "s-1", "active"));
+            awaitReady(true);
+        }
+        pass(900);
+        try (RawHttp refused = accept("GET /api/targets?watch=1&from=41 HTTP/1.1")) {
+            refused.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+            assertNull(refused.read());
+        }
+        assertTrue(loop.submit(node::ready).get(), "the last list stays");
+    }
+
+    @Test(timeOut = 30_000)
+    public void discoverySilentFromBeforeTheStartIsAskedAgainAfterASecond() throws Exception {
+        try (RawHttp silent = accept(WHOLE)) {
+            loop.submit(() -> node.members(News.STORED, List.of())).get();
+            now = 1_100;
+            loop.submit(timers::run).get();
+            assertNull(silent.read());
+        }
+        pass(900);
+        try (RawHttp watch = accept(WHOLE)) {
+            watch.write(HEAD + list(7, true, "s-1", "active"));
+            awaitReady(true);
         }
     }
 
--- a/node/src/test/java/ferngrade/net/NodeStoriesTest.java
+++ b/node/src/test/java/ferngrade/net/NodeStoriesTest.java
@@ -282,6 +282,38 @@
         }
     }
 
+    /** Discovery takes connections and says nothing, from before the start; the node serves by the list it knew. */
+    @Test
+    public void twoReloadsWhileDiscoveryIsSilentAndThenAPlannedStopLoseNothing() throws Exception {
+        start(list(41, "active"));
+        try (RawHttp client = RawHttp.to(node.address()); RawHttp other = RawHttp.to(node.address());
+                ServerSocket second = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                ServerSocket third = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            RawHttp silent = new RawHttp(discovery.accept());
+            silent.read();
+            awaitReadiness(other, 200);
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            try (RawHttp worked = new RawHttp(worker.accept())) {
+                worked.read();
+                node.reload(config(second.getLocalPort(), null));
+                assertNull(silent.read(), "a watch that never told a list ends at once");
+                RawHttp silentToo = new RawHttp(second.accept());
+                silentToo.read();
+                node.reload(config(third.getLocalPort(), null));
+                assertNull(silentToo.read());
+                RawHttp watch = new RawHttp(third.accept());
+                assertEquals(watch.read().start(), "GET /api/targets?watch=1 HTTP/1.1");
+                awaitReadiness(other, 200);
+                watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list(3, "left") + "\n"));
+                awaitReadiness(other, 503);
+                CompletableFuture<Void> stopped = CompletableFuture.runAsync(this::stop);
+                assertEquals(callBack("a", "\"state\":\"done\",\"result\":\"soup\""), 204);
+                assertEquals(client.read().body(), "soup");
+                stopped.get();
+            }
+        }
+    }
+
     @Test
     public void stopFinishesWhatWasTakenThoughItsCallBackComesLate() throws Exception {
         start(list(1, "active"));
