--- a/decisions/src/main/java/ferngrade/Choice.java
+++ b/decisions/src/main/java/ferngrade/Choice.java
@@ -610,9 +610,11 @@
         node.group.wait += LEARN * (wait - node.group.wait);
     }
 
-    /** Between what was seen here, little and late in a large tier, and the load that the list tells. */
+    /** What was seen here, moved to what the list tells by this dispatcher's part of the tier. */
     private double expectedWait(Node node, double now) {
-        return loads ? (seenWait(node, now) + toldWait(node, now)) / 2 : seenWait(node, now);
+        // All read one list: going by it alone, all would send to the same few workers until the next one.
+        double seen = seenWait(node, now);
+        return loads ? seen + (toldWait(node, now) - seen) / Math.max(2, settings.dispatchers()) : seen;
     }
 
     /** The wait by the jobs that the list tells for each core, and those sent that it cannot show yet. */
@@ -716,10 +718,8 @@
         Group group = node.group;
         group.slowness = group.known ? group.slowness + LEARN / 2 * (ratio - group.slowness) : ratio;
         group.known = true;
-        if (node.outcomes++ == 0) {
-            node.slowness = group.slowness;
-        }
-        node.slowness += LEARN * (ratio - node.slowness);
+        double before = node.outcomes++ == 0 ? group.slowness : node.slowness;
+        node.slowness = before + LEARN * (ratio - before);
     }
 
     /** A worker that fails fast looks idle and would draw every job: it is left out, longer each time. */
--- a/decisions/src/test/java/ferngrade/LoadTest.java
+++ b/decisions/src/test/java/ferngrade/LoadTest.java
@@ -27,14 +27,18 @@
     private static final int WORKERS = 8;
     private static final double SIZE = 8;
     private final Fixture.Recorder out = new Fixture.Recorder();
-    private final Choice choice = new Choice(Fixture.settings(0, 4, Fixture.jobClass(Effect.UNSAFE, Scope.ALL),
-            List.of(new Tenant("a", 1, 10)), true, true), 7, 0, out);
+    private Choice choice = choice(0, 4);
     private final Deque<String> running = new ArrayDeque<>();
     private final double[] load = new double[WORKERS];
     private final Set<Integer> gone = new HashSet<>();
     private int ids;
     private double now;
 
+    private Choice choice(int me, int dispatchers) {
+        return new Choice(Fixture.settings(me, dispatchers, Fixture.jobClass(Effect.UNSAFE, Scope.ALL),
+                List.of(new Tenant("a", 1, 10)), true, true), 7 + me, 0, out);
+    }
+
     private void list() {
         List<Worker> entries = new ArrayList<>();
         for (int i = 0; i < WORKERS; i++) {
@@ -126,6 +130,23 @@
         assertEquals(0, cycles(1, 5), "refused once the queues are gone");
     }
 
+    @Test
+    void aHundredDispatchersDoNotAllCrowdOnTheWorkerThatTheirCommonListShowsIdle() {
+        int crowd = 0;
+        for (int dispatcher = 0; dispatcher < 100; dispatcher++) {
+            choice = choice(dispatcher, 100);
+            running.clear();
+            warmUp(0.5);
+            Arrays.fill(load, 1.95);
+            load[3] = 0.2;
+            list();
+            choice.arrived(now, Fixture.job("c" + dispatcher, 0, now + 10_000));
+            crowd += out.last().worker() == 3 ? 1 : 0;
+            Arrays.fill(load, 0);
+        }
+        assertTrue(crowd < 60, "of a hundred jobs, one from each, the idle worker got " + crowd);
+    }
+
     @Test
     void jobsSpreadBeforeTheFastWorkersGetMoreHoweverLargeTheListSaysTheyAre() {
         List<Worker> entries = new ArrayList<>();
