--- /dev/null
+++ b/agreement/src/main/java/ferngrade/agreement/Voter.java
@@ -0,0 +1,358 @@
+package ferngrade.agreement;
+
+import ferngrade.node.Clock;
+import ferngrade.node.Timers;
+import io.microraft.RaftConfig;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.impl.message.DefaultVoteRequestOrBuilder;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.InstallSnapshotRequest;
+import io.microraft.model.message.PreVoteRequest;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.model.message.VoteRequest;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import io.microraft.report.RaftTerm;
+import io.microraft.statemachine.StateMachine;
+import io.microraft.transport.Transport;
+import java.io.IOException;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * One member's part in the replicated log: a vote, or a copy that follows. What is proposed anywhere goes to the leader;
+ * once a majority of the voters has it on disk, every member applies it to its {@link Machine}.
+ *
+ * <p>The algorithm is MicroRaft's; its time, chance, disk and messages come from here, so that it runs in virtual time.
+ * It counts heartbeats in whole seconds: one of its seconds is a heartbeat of {@link Terms}. All methods belong to the
+ * thread of {@code loop}.
+ */
+public final class Voter {
+    /** Heartbeats without a word from a leader after which another is elected. */
+    private static final int SILENT_BEATS = 5;
+    /** Times that silence after which a voter that does nothing about it is taken to be stuck. */
+    private static final int STUCK = 3;
+    private static final int MOST_PENDING = 20_000;
+
+    private final String name;
+    private final String fleet;
+    private final Collection<String> voters;
+    private final Timers timers;
+    private final Codec codec;
+    private final Links links;
+    private final RaftNode node;
+    private final Map<Long, Waiting> waiting = new HashMap<>();
+    private final Clock clock;
+    private final Terms terms;
+    private long lastId;
+    private double leaderHeard;
+    private double campaigned;
+
+    /** {@code heartbeat}, ms, sets the pace; a snapshot stands for so many entries. */
+    public record Terms(double heartbeat, int snapshotEvery) { }
+
+    /** Who takes part: all members' names, and those of them that vote. */
+    public record Group(String fleet, Collection<String> members, Collection<String> voters) { }
+
+    /** What a voter keeps: where it writes, and what was there at the start, null for nothing. */
+    public record Kept(RaftStore store, RestoredRaftState restored) { }
+
+    /** Time and thread of a member. */
+    public record Surroundings(Clock clock, Timers timers, Executor loop, long seed) { }
+
+    /** Carries bytes to another member, soon or never. */
+    @FunctionalInterface
+    public interface Links {
+        /** Sends this; what cannot be sent at once is dropped. */
+        void send(String to, byte[] message);
+    }
+
+    /** What became of a proposal. */
+    public interface Outcome {
+        /** It is in the log and was applied. */
+        void done(Object result);
+
+        /** It may be in the log or not, now or later. */
+        void unknown(String why);
+    }
+
+    /** A proposal on its way to the leader. */
+    record Forward(long id, Object command) { }
+
+    /** The leader's answer to that; the result counts if it is done. */
+    record Answered(long id, boolean done, Object result) { }
+
+    private record Waiting(Outcome outcome, Timers.Timer timer) { }
+
+    /** A member of a group; it takes part from {@link #start} on. */
+    public Voter(String name, Group group, Machine machine, Kept kept, Surroundings around, Codec codec, Links links,
+            Terms terms) {
+        this.name = name;
+        this.fleet = group.fleet();
+        this.timers = around.timers();
+        this.clock = around.clock();
+        this.terms = terms;
+        this.voters = group.voters();
+        this.codec = codec;
+        this.links = links;
+        double scale = terms.heartbeat() / 1000;
+        RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(fleet)
+                .setConfig(RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(1)
+                        .setLeaderHeartbeatTimeoutSecs(SILENT_BEATS).setLeaderElectionTimeoutMillis(1000)
+                        .setCommitCountToTakeSnapshot(terms.snapshotEvery()).setMaxPendingLogEntryCount(MOST_PENDING)
+                        .setTransferSnapshotsFromFollowersEnabled(false).build())
+                .setExecutor(new Tasks(around, scale)).setTransport(new Messages()).setStateMachine(new Applied(machine))
+                .setStore(kept.store()).setRandom(new Random(around.seed())).setClock(new Pace(around.clock(), scale));
+        if (kept.restored() != null) {
+            builder.setRestoredState(kept.restored());
+        } else {
+            builder.setLocalEndpoint(new Endpoint(name)).setInitialGroupMembers(endpoints(group.members()),
+                    endpoints(group.voters()));
+        }
+        this.node = builder.build();
+    }
+
+    private static List<RaftEndpoint> endpoints(Collection<String> names) {
+        return names.stream().sorted().<RaftEndpoint>map(Endpoint::new).toList();
+    }
+
+    /** Begins to take part. */
+    public void start() {
+        leaderHeard = clock.now();
+        node.start();
+        watch();
+    }
+
+    /**
+     * The algorithm can be left in a pre-vote that never ends: one that was begun when the leader was late, and then heard
+     * it once more in the same term, asks nobody again when that leader dies (found in virtual time). A voter that has
+     * heard no leader and asked for no vote for long is asked for its vote in the next term by one whose log is empty: it
+     * moves to that term and votes for nobody, and the algorithm begins anew.
+     */
+    private void watch() {
+        double patience = STUCK * SILENT_BEATS * terms.heartbeat();
+        View view = view();
+        if (voters.contains(name) && !name.equals(view.leader())
+                && clock.now() - Math.max(leaderHeard, campaigned) > patience) {
+            leaderHeard = clock.now();
+            String other = voters.stream().filter(each -> !each.equals(name)).findFirst().orElse(name);
+            node.handle(new DefaultVoteRequestOrBuilder().setGroupId(fleet).setSender(new Endpoint(other))
+                    .setTerm(view.term() + 1).setLastLogTerm(0).setLastLogIndex(0).setSticky(false).build());
+        }
+        timers.after(patience / 2, this::watch);
+    }
+
+    /** Takes no part any more. */
+    public void stop() {
+        node.terminate();
+    }
+
+    /** The term, and the leader as far as this member knows: null for none. */
+    public record View(int term, String leader) { }
+
+    /** What this member knows of the leader. */
+    public View view() {
+        RaftTerm term = node.getTerm();
+        RaftEndpoint leader = term.getLeaderEndpoint();
+        return new View(term.getTerm(), leader == null ? null : (String) leader.getId());
+    }
+
+    /** Takes a message in; one that cannot be read, or is another fleet's, is dropped. */
+    public void handle(String from, byte[] message) {
+        Object read;
+        try {
+            read = codec.read(message, 0, message.length);
+        } catch (IOException malformed) {
+            return;
+        }
+        if (read instanceof RaftMessage raft) {
+            if (fleet.equals(raft.getGroupId())) {
+                if (raft instanceof AppendEntriesRequest || raft instanceof InstallSnapshotRequest) {
+                    leaderHeard = clock.now();
+                }
+                node.handle(raft);
+            }
+        } else if (read instanceof Forward forward) {
+            replicate(forward.command(), new Outcome() {
+                @Override
+                public void done(Object result) {
+                    links.send(from, codec.write(new Answered(forward.id(), true, result)));
+                }
+
+                @Override
+                public void unknown(String why) {
+                    links.send(from, codec.write(new Answered(forward.id(), false, why)));
+                }
+            });
+        } else if (read instanceof Answered answered) {
+            Waiting asked = waiting.remove(answered.id());
+            if (asked != null) {
+                asked.timer().cancel();
+                if (answered.done()) {
+                    asked.outcome().done(answered.result());
+                } else {
+                    asked.outcome().unknown(String.valueOf(answered.result()));
+                }
+            }
+        }
+    }
+
+    /**
+     * Proposes a command. The outcome comes once, within {@code patience} ms. An unknown one may have been applied: a
+     * command that must not be applied twice says so itself.
+     */
+    public void propose(Object command, double patience, Outcome outcome) {
+        String leader = view().leader();
+        if (name.equals(leader)) {
+            Once once = new Once(outcome);
+            once.timer = timers.after(patience, () -> once.unknown("no majority has answered in time"));
+            replicate(command, once);
+        } else if (leader == null) {
+            timers.after(0, () -> outcome.unknown("no leader is known"));
+        } else {
+            long id = ++lastId;
+            Timers.Timer timer = timers.after(patience, () -> {
+                waiting.remove(id);
+                outcome.unknown("the leader has not answered in time");
+            });
+            waiting.put(id, new Waiting(outcome, timer));
+            links.send(leader, codec.write(new Forward(id, command)));
+        }
+    }
+
+    private void replicate(Object command, Outcome outcome) {
+        node.replicate(command).whenComplete((result, failure) -> {
+            if (failure == null) {
+                outcome.done(result.getResult());
+            } else {
+                outcome.unknown(failure.getClass().getSimpleName());
+            }
+        });
+    }
+
+    /** Passes on the first outcome alone. */
+    private static final class Once implements Outcome {
+        private final Outcome outcome;
+        private Timers.Timer timer;
+        private boolean over;
+
+        Once(Outcome outcome) {
+            this.outcome = outcome;
+        }
+
+        private void end(Consumer<Outcome> how) {
+            if (!over) {
+                over = true;
+                timer.cancel();
+                how.accept(outcome);
+            }
+        }
+
+        @Override
+        public void done(Object result) {
+            end(each -> each.done(result));
+        }
+
+        @Override
+        public void unknown(String why) {
+            end(each -> each.unknown(why));
+        }
+    }
+
+    /** The algorithm's tasks, on the member's thread and in its time. */
+    private record Tasks(Surroundings around, double scale) implements RaftNodeExecutor {
+        @Override
+        public void execute(Runnable task) {
+            around.loop().execute(task);
+        }
+
+        @Override
+        public void submit(Runnable task) {
+            around.loop().execute(task);
+        }
+
+        @Override
+        public void schedule(Runnable task, long delay, TimeUnit unit) {
+            around.timers().after(unit.toMicros(delay) / 1000.0 * scale, task);
+        }
+    }
+
+    private final class Messages implements Transport {
+        @Override
+        public void send(RaftEndpoint target, RaftMessage message) {
+            if (message instanceof PreVoteRequest || message instanceof VoteRequest) {
+                campaigned = clock.now();
+            }
+            links.send((String) target.getId(), codec.write(message));
+        }
+
+        @Override
+        public boolean isReachable(RaftEndpoint endpoint) {
+            return true;
+        }
+    }
+
+    private record Applied(Machine machine) implements StateMachine {
+        @Override
+        public Object runOperation(long index, Object operation) {
+            return operation instanceof NewTerm ? null : machine.apply(index, operation);
+        }
+
+        @Override
+        public void takeSnapshot(long index, Consumer<Object> chunks) {
+            chunks.accept(machine.snapshot());
+        }
+
+        @Override
+        public void installSnapshot(long index, List<Object> chunks) {
+            machine.restore(index, chunks.get(0));
+        }
+
+        @Override
+        public Object getNewTermOperation() {
+            return new NewTerm();
+        }
+    }
+
+    /** The member's clock as the algorithm reads it, a heartbeat for a second. */
+    private static final class Pace extends java.time.Clock {
+        private final Clock clock;
+        private final double scale;
+
+        Pace(Clock clock, double scale) {
+            this.clock = clock;
+            this.scale = scale;
+        }
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public java.time.Clock withZone(ZoneId zone) {
+            return this;
+        }
+
+        @Override
+        public long millis() {
+            return (long) (clock.now() / scale);
+        }
+
+        @Override
+        public Instant instant() {
+            return Instant.ofEpochMilli(millis());
+        }
+    }
+}
--- a/durable/src/test/java/ferngrade/durable/FaultyDisk.java
+++ b/durable/src/main/java/ferngrade/durable/FaultyDisk.java
@@ -13,9 +13,9 @@
  * there, be gone, be torn, or be there with what was written before it gone; names that were not synced may be as they
  * were. With lies, a sync now and then returns with nothing synced.
  */
-final class FaultyDisk implements Disk {
+public final class FaultyDisk implements Disk {
     /** The power has gone. */
-    static final class PowerLost extends IOException {
+    public static final class PowerLost extends IOException {
         private static final long serialVersionUID = 1L;
     }
 
@@ -44,27 +44,30 @@
     private boolean full;
     private int lied;
 
-    FaultyDisk(long seed, double lies) {
+    /** An empty folder; this share of its syncs does nothing. */
+    public FaultyDisk(long seed, double lies) {
         this.chance = new SplittableRandom(seed);
         this.lies = lies;
         this.left = Long.MAX_VALUE;
     }
 
     /** Loses power in the step after so many. */
-    void losePowerAfter(long more) {
+    public void losePowerAfter(long more) {
         left = more;
     }
 
     /** From here on every write says that the disk is full, with a part of it written. */
-    void fill(boolean nowFull) {
+    public void fill(boolean nowFull) {
         full = nowFull;
     }
 
-    long steps() {
+    /** The writes, syncs and changes of names so far. */
+    public long steps() {
         return steps;
     }
 
-    int lied() {
+    /** The syncs that did nothing. */
+    public int lied() {
         return lied;
     }
 
@@ -76,7 +79,7 @@
     }
 
     /** Power is back: what a machine finds then. */
-    void powerUp() {
+    public void powerUp() {
         left = Long.MAX_VALUE;
         Map<String, Content> found = new TreeMap<>(syncedNames);
         // Changes of names since the last sync of them: each has come to last or not.
@@ -113,7 +116,7 @@
     }
 
     /** Turns one bit over in what was synced; false if there is nothing. */
-    boolean flip(String name, int offset) {
+    public boolean flip(String name, int offset) {
         Content content = names.get(name);
         if (offset >= content.synced.length) {
             return false;
--- a/durable/src/main/java/ferngrade/durable/Journal.java
+++ b/durable/src/main/java/ferngrade/durable/Journal.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import java.util.zip.CRC32C;
 
 /**
  * The log of a store: entries go in by batches, one sync for each, and come back in their order. Logs that are closed
@@ -24,9 +23,7 @@
  */
 public final class Journal implements AutoCloseable {
     static final int HEADER = 16;
-    private static final int BATCH_HEADER = 16;
     private static final long MAGIC = 0x464e47_4c4f47_0001L;
-    private static final int MOST_BATCH = 64 << 20;
     private static final int PIECE = 256 << 10;
     private static final String LOG = "log-";
     private static final String SNAPSHOT = "snap-";
@@ -163,9 +160,9 @@
             int at = HEADER;
             boolean ended = false;
             while (at < content.length) {
-                int length = batchAt(in, at);
+                int length = Batch.lengthAt(in, at);
                 if (length < 0) {
-                    if (whole || !last || followed(in, at)) {
+                    if (whole || !last || Batch.followed(in, at, batch)) {
                         throw new DamagedException(name, at, "a batch cannot be read, and others follow it");
                     }
                     cut = content.length - at;
@@ -173,7 +170,7 @@
                     cutFile = name;
                     return;
                 }
-                long its = in.getLong(at + 8);
+                long its = Batch.numberAt(in, at);
                 if (whole ? its < batch : its <= batch) {
                     throw new DamagedException(name, at, "batch " + its + " comes after " + batch);
                 }
@@ -182,39 +179,16 @@
                 }
                 batch = its;
                 ended = length == 0;
-                replay(name, content, at + BATCH_HEADER, length);
+                replay(name, content, at + Batch.HEADER, length);
                 batches++;
                 bytes += length;
-                at += BATCH_HEADER + length;
+                at += Batch.HEADER + length;
             }
             if (whole && !ended) {
                 throw new DamagedException(name, content.length, "the snapshot has no end");
             }
         }
 
-        /** The length of the batch at an offset, -1 if none can be read there. */
-        private static int batchAt(ByteBuffer in, int at) {
-            if (in.capacity() - at < BATCH_HEADER) {
-                return -1;
-            }
-            int length = in.getInt(at);
-            if (length < 0 || length > MOST_BATCH || length > in.capacity() - at - BATCH_HEADER) {
-                return -1;
-            }
-            return in.getInt(at + 4) == checksum(in.array(), at + 8, 8 + length, length) ? length : -1;
-        }
-
-        /** True if a later batch can be read: its write began when this one's sync had returned. */
-        private boolean followed(ByteBuffer in, int from) {
-            for (int at = from + 1; at <= in.capacity() - BATCH_HEADER; at++) {
-                long number = in.getLong(at + 8);
-                if (number > batch + 1 && number < batch + 1_000_000_000L && batchAt(in, at) >= 0) {
-                    return true;
-                }
-            }
-            return false;
-        }
-
         private void replay(String name, byte[] content, int from, int length) throws IOException {
             ByteBuffer in = ByteBuffer.wrap(content, from, length);
             while (in.hasRemaining()) {
@@ -231,16 +205,6 @@
         }
     }
 
-    private static int checksum(byte[] bytes, int from, int count, int length) {
-        CRC32C crc = new CRC32C();
-        crc.update(length >>> 24);
-        crc.update(length >>> 16);
-        crc.update(length >>> 8);
-        crc.update(length);
-        crc.update(bytes, from, count);
-        return (int) crc.getValue();
-    }
-
     private static long number(String name, String prefix) throws IOException {
         try {
             return Long.parseLong(name.substring(prefix.length()));
@@ -283,7 +247,7 @@
 
     private static byte[] encode(Iterable<Entry> some, long number, ByteArrayOutputStream buffer) {
         buffer.reset();
-        buffer.write(new byte[BATCH_HEADER], 0, BATCH_HEADER);
+        buffer.write(new byte[Batch.HEADER], 0, Batch.HEADER);
         ByteArrayOutputStream one = new ByteArrayOutputStream(256);
         for (Entry entry : some) {
             one.reset();
@@ -291,11 +255,7 @@
             buffer.writeBytes(ByteBuffer.allocate(4).putInt(one.size()).array());
             buffer.writeBytes(one.toByteArray());
         }
-        byte[] all = buffer.toByteArray();
-        int length = all.length - BATCH_HEADER;
-        ByteBuffer.wrap(all).putInt(0, length).putLong(8, number);
-        ByteBuffer.wrap(all).putInt(4, checksum(all, 8, 8 + length, length));
-        return all;
+        return Batch.frame(buffer.toByteArray(), number);
     }
 
     private void nextLog() throws IOException {
--- /dev/null
+++ b/fleet/src/main/java/ferngrade/fleet/JobSender.java
@@ -0,0 +1,98 @@
+package ferngrade.fleet;
+
+import ferngrade.fleet.FleetFile.Effect;
+import ferngrade.fleet.FleetFile.Job;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.concurrent.Executor;
+import java.util.concurrent.CompletionException;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Puts a recurring job in as a client would, with the owner's epoch in headers of its own. It goes to one target after
+ * another as long as it certainly was not taken; where it may have been, only what may be put in twice goes on.
+ */
+final class JobSender {
+    private static final int CONNECT_MS = 500;
+    private static final int MOST_ROUNDS = 3;
+
+    private final String fleet;
+    private final List<InetSocketAddress> targets;
+    private final Executor loop;
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofMillis(CONNECT_MS)).build();
+
+    /** A sender to these targets; outcomes are told on {@code loop}. */
+    JobSender(String fleet, List<InetSocketAddress> targets, Executor loop) {
+        this.fleet = fleet;
+        this.targets = targets;
+        this.loop = loop;
+    }
+
+    private static String hex(String text) {
+        long[] hash = MurmurHash3.hash128x64(text.getBytes(StandardCharsets.UTF_8));
+        return String.format("%016x%016x", hash[0], hash[1]);
+    }
+
+    /** Puts the job in; {@code holds} is asked at the last moment before each try, and the result told once. */
+    void put(Job job, long due, long epoch, BooleanSupplier holds, Consumer<String> result) {
+        attempt(job, due, epoch, holds, result, 0);
+    }
+
+    private void attempt(Job job, long due, long epoch, BooleanSupplier holds, Consumer<String> result, int number) {
+        if (number >= MOST_ROUNDS * targets.size()) {
+            result.accept("refused");
+            return;
+        }
+        if (!holds.getAsBoolean()) {
+            result.accept("given up: no longer held");
+            return;
+        }
+        InetSocketAddress target = targets.get(number % targets.size());
+        String key = hex(fleet + " " + job.when().name() + " " + due);
+        // A job's id is fresh with each sending; its key is what a repeat is known by.
+        String id = hex(key + " " + epoch + " " + number).substring(0, 16);
+        HttpRequest.Builder request = HttpRequest
+                .newBuilder(URI.create("http://" + target.getHostString() + ":" + target.getPort() + "/api"))
+                .timeout(Duration.ofMillis((long) job.deadline()))
+                .header("Req-Id", id).header("Req-Kind", job.jobClass()).header("Req-Owner", job.tenant())
+                .header("Req-Deadline", (long) job.deadline() + "m")
+                .header("Fencing-Token", Long.toString(epoch)).header("Fencing-Shard", job.when().shard().toString())
+                .header("Due", Long.toString(due));
+        if (job.effect() == Effect.KEYED) {
+            request.header("Idempotency-Key", key);
+        }
+        request.POST(HttpRequest.BodyPublishers.ofString(job.payload()));
+        client.sendAsync(request.build(), HttpResponse.BodyHandlers.discarding()).whenCompleteAsync((answer, failure) -> {
+            boolean untaken = answer != null ? answer.statusCode() == 503 || answer.statusCode() == 429
+                    : neverSent(failure);
+            if (untaken || answer == null && job.effect() != Effect.UNSAFE) {
+                attempt(job, due, epoch, holds, result, number + 1);
+            } else if (answer == null) {
+                result.accept("in doubt: " + reason(failure));
+            } else {
+                result.accept(answer.statusCode() == 200 ? "served" : "failed: " + answer.statusCode());
+            }
+        }, loop);
+    }
+
+    private static boolean neverSent(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException;
+    }
+
+    private static String reason(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause.getClass().getSimpleName();
+    }
+}
--- a/lab/src/main/java/ferngrade/lab/CompareCommand.java
+++ b/lab/src/main/java/ferngrade/lab/CompareCommand.java
@@ -1,6 +1,7 @@
 package ferngrade.lab;
 
 import ferngrade.cli.Cli;
+import ferngrade.toml.FileException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -22,7 +23,7 @@
         List<Comparison.Row> rows;
         try {
             rows = new Comparison(Results.read(before), Results.read(after)).rows();
-        } catch (ExperimentException bad) {
+        } catch (FileException bad) {
             System.err.println("ferngrade: " + bad.getMessage());
             return Cli.BAD_CONFIG;
         }
--- a/lab/src/main/java/ferngrade/lab/ExperimentReader.java
+++ b/lab/src/main/java/ferngrade/lab/ExperimentReader.java
@@ -12,6 +12,9 @@
 import ferngrade.emulator.TenantSpec;
 import ferngrade.emulator.WorkloadSpec;
 import ferngrade.emulator.policy.Policies;
+import ferngrade.toml.FileException;
+import ferngrade.toml.Section;
+import ferngrade.toml.TomlLines;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -37,35 +40,21 @@
     }
 
     /** Reads a file. */
-    public static Experiment read(Path path) throws ExperimentException {
-        String text;
-        try {
-            text = Files.readString(path, StandardCharsets.UTF_8);
-        } catch (IOException unreadable) {
-            throw new ExperimentException(path.toString(), "cannot be read: " + unreadable.getMessage());
-        }
-        return read(path.toString(), path.toAbsolutePath().getParent(), text);
+    public static Experiment read(Path path) throws FileException {
+        return read(path.toString(), path.toAbsolutePath().getParent(), Section.text(path));
     }
 
     /** Reads a text; {@code file} is its name in messages, and traces are looked for in {@code folder}. */
-    public static Experiment read(String file, Path folder, String text) throws ExperimentException {
-        JsonNode root;
-        try {
-            root = TOML.readTree(text);
-        } catch (JsonProcessingException malformed) {
-            int line = malformed.getLocation() == null ? 0 : malformed.getLocation().getLineNr();
-            throw new ExperimentException(file + (line > 0 ? ":" + line : ""),
-                    "is not TOML: " + malformed.getOriginalMessage().lines().findFirst().orElse(""));
-        }
-        return new ExperimentReader(file, folder, new TomlLines(text)).experiment(root);
+    public static Experiment read(String file, Path folder, String text) throws FileException {
+        return new ExperimentReader(file, folder, new TomlLines(text)).experiment(Section.parse(file, text));
     }
 
     /** Reads a tree that was an experiment before it was changed. */
-    public static Experiment read(String file, Path folder, JsonNode root) throws ExperimentException {
+    public static Experiment read(String file, Path folder, JsonNode root) throws FileException {
         return new ExperimentReader(file, folder, new TomlLines("")).experiment(root);
     }
 
-    private Experiment experiment(JsonNode root) throws ExperimentException {
+    private Experiment experiment(JsonNode root) throws FileException {
         Section top = new Section(file, lines, "", root);
         List<String> policies = top.texts("policies", List.of("module"));
         for (String policy : policies) {
@@ -95,7 +84,7 @@
                 root);
     }
 
-    private static List<Long> seeds(Section top) throws ExperimentException {
+    private static List<Long> seeds(Section top) throws FileException {
         List<Long> seeds = new ArrayList<>();
         if (top.numeric("seeds")) {
             double count = top.number("seeds", 1);
@@ -120,7 +109,7 @@
     }
 
     /** Every combination of the swept parameters; one empty setting where nothing is swept. */
-    private static List<Map<String, JsonNode>> settings(Section top) throws ExperimentException {
+    private static List<Map<String, JsonNode>> settings(Section top) throws FileException {
         Section sweep = top.section("sweep");
         List<Map<String, JsonNode>> settings = new ArrayList<>(List.of(Map.of()));
         for (String key : sweep.keys()) {
@@ -138,7 +127,7 @@
     }
 
     /** One parameter, or several that are swept together: their paths with commas between, their values in a list. */
-    private static void set(Section top, ObjectNode root, String paths, JsonNode value) throws ExperimentException {
+    private static void set(Section top, ObjectNode root, String paths, JsonNode value) throws FileException {
         String[] all = paths.split("\\s*,\\s*");
         if (all.length > 1 && (!value.isArray() || value.size() != all.length)) {
             throw top.bad("sweep." + paths, "needs a list of " + all.length + " values for each setting");
@@ -158,7 +147,7 @@
         return String.join(" ", words);
     }
 
-    private static void put(Section top, ObjectNode root, String path, JsonNode value) throws ExperimentException {
+    private static void put(Section top, ObjectNode root, String path, JsonNode value) throws FileException {
         String[] steps = path.split("\\.");
         JsonNode at = root;
         for (int i = 0; i < steps.length - 1; i++) {
@@ -178,7 +167,7 @@
         ((ObjectNode) at).set(steps[steps.length - 1], value);
     }
 
-    private static int index(Section top, String path, String step) throws ExperimentException {
+    private static int index(Section top, String path, String step) throws FileException {
         try {
             return Integer.parseInt(step);
         } catch (NumberFormatException notANumber) {
@@ -186,27 +175,27 @@
         }
     }
 
-    private Scenario scenario(Section top) throws ExperimentException {
+    private Scenario scenario(Section top) throws FileException {
         Scenario scenario = Scenario.standard();
         scenario.duration = top.time("duration", scenario.duration);
         Section fleet = top.section("fleet");
-        fleet.fill(scenario);
+        Fields.fill(fleet, scenario);
         scenario.zones = zones(fleet, scenario.zones);
         List<Section> kinds = fleet.sections("kind");
         if (!kinds.isEmpty()) {
             scenario.kinds.clear();
             for (Section kind : kinds) {
-                scenario.kinds.add(kind.fill(new KindSpec()));
+                scenario.kinds.add(Fields.fill(kind, new KindSpec()));
                 kind.end();
             }
         }
         fleet.end();
         workload(top.section("workload"), scenario.workload);
         Section network = top.section("network");
-        network.fill(scenario.network);
+        Fields.fill(network, scenario.network);
         network.end();
         Section discovery = top.section("discovery");
-        discovery.fill(scenario.discovery);
+        Fields.fill(discovery, scenario.discovery);
         discovery.end();
         if (scenario.discovery.noticeMost < scenario.discovery.noticeLeast) {
             throw discovery.bad("notice-most", "is less than notice-least");
@@ -222,7 +211,7 @@
     }
 
     /** Zones by name, or so many of them. */
-    private static List<String> zones(Section fleet, List<String> absent) throws ExperimentException {
+    private static List<String> zones(Section fleet, List<String> absent) throws FileException {
         if (!fleet.numeric("zones")) {
             return new ArrayList<>(fleet.texts("zones", absent));
         }
@@ -233,8 +222,8 @@
         return new ArrayList<>(IntStream.range(0, (int) count).mapToObj(zone -> "z" + zone).toList());
     }
 
-    private void workload(Section section, WorkloadSpec workload) throws ExperimentException {
-        section.fill(workload);
+    private void workload(Section section, WorkloadSpec workload) throws FileException {
+        Fields.fill(section, workload);
         if (section.has("rate") && section.has("load")) {
             throw section.bad("rate", "and load are both given; one of them sets the arrivals");
         }
@@ -242,7 +231,7 @@
         if (!classes.isEmpty()) {
             workload.classes.clear();
             for (Section each : classes) {
-                workload.classes.add(each.fill(new ClassSpec()));
+                workload.classes.add(Fields.fill(each, new ClassSpec()));
                 each.end();
             }
         }
@@ -267,7 +256,7 @@
 
     /** A trace has a line for each arrival: its time in ms, its class and tenant by name, and its work in ms. */
     private List<WorkloadSpec.Arrival> trace(Section section, String name, WorkloadSpec workload)
-            throws ExperimentException {
+            throws FileException {
         List<String> classes = workload.classes.stream().map(each -> each.name).toList();
         List<String> tenants = workload.tenants.stream().map(each -> each.name).toList();
         List<WorkloadSpec.Arrival> arrivals = new ArrayList<>();
@@ -291,19 +280,19 @@
                 int jobClass = classes.indexOf(cells[1]);
                 int tenant = tenants.indexOf(cells[2]);
                 if (cells.length != 4 || !(at >= last) || !(work > 0) || jobClass < 0 || tenant < 0) {
-                    throw new ExperimentException(where, "needs a time that does not go back, a class, a tenant and a"
+                    throw new FileException(where, "needs a time that does not go back, a class, a tenant and a"
                             + " work above 0: " + row);
                 }
                 last = at;
                 arrivals.add(new WorkloadSpec.Arrival(at, jobClass, tenant, work));
             } catch (NumberFormatException | ArrayIndexOutOfBoundsException malformed) {
-                throw new ExperimentException(where, "is not time,class,tenant,work: " + row);
+                throw new FileException(where, "is not time,class,tenant,work: " + row);
             }
         }
         return arrivals;
     }
 
-    private static Fault fault(Section section, Scenario scenario) throws ExperimentException {
+    private static Fault fault(Section section, Scenario scenario) throws FileException {
         Fault.Kind kind = section.word("kind", Fault.Kind.class, null);
         if (kind == null) {
             throw section.bad("kind", "is missing");
--- a/lab/src/main/java/ferngrade/lab/LoadCommand.java
+++ b/lab/src/main/java/ferngrade/lab/LoadCommand.java
@@ -4,6 +4,7 @@
 import ferngrade.config.MemberReader;
 import ferngrade.emulator.Scenario;
 import ferngrade.emulator.socket.LoadRun;
+import ferngrade.toml.FileException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -39,7 +40,7 @@
                 }
                 addresses.add(address);
             }
-        } catch (ExperimentException | IllegalArgumentException bad) {
+        } catch (FileException | IllegalArgumentException bad) {
             System.err.println("ferngrade: " + bad.getMessage());
             return Cli.BAD_CONFIG;
         }
--- a/lab/src/main/java/ferngrade/lab/ReplayCommand.java
+++ b/lab/src/main/java/ferngrade/lab/ReplayCommand.java
@@ -1,6 +1,7 @@
 package ferngrade.lab;
 
 import ferngrade.cli.Cli;
+import ferngrade.toml.FileException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -22,7 +23,7 @@
         Experiment experiment;
         try {
             experiment = ExperimentReader.read(file);
-        } catch (ExperimentException bad) {
+        } catch (FileException bad) {
             System.err.println("ferngrade: " + bad.getMessage());
             return Cli.BAD_CONFIG;
         }
--- a/lab/src/main/java/ferngrade/lab/ReportCommand.java
+++ b/lab/src/main/java/ferngrade/lab/ReportCommand.java
@@ -1,6 +1,7 @@
 package ferngrade.lab;
 
 import ferngrade.cli.Cli;
+import ferngrade.toml.FileException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -21,7 +22,7 @@
             Report.write(results, folder);
             System.out.println(folder.resolve("report.html"));
             return 0;
-        } catch (ExperimentException bad) {
+        } catch (FileException bad) {
             System.err.println("ferngrade: " + bad.getMessage());
             return Cli.BAD_CONFIG;
         }
--- a/lab/src/main/java/ferngrade/lab/Results.java
+++ b/lab/src/main/java/ferngrade/lab/Results.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import ferngrade.toml.FileException;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -41,18 +42,18 @@
     }
 
     /** Reads what {@link #write} has left in a folder. */
-    public static Results read(Path folder) throws ExperimentException {
+    public static Results read(Path folder) throws FileException {
         Path file = folder.resolve(FILE);
         try {
             Results results = JSON.readValue(file.toFile(), Results.class);
             if (results.format() != FORMAT) {
-                throw new ExperimentException(file.toString(), "has the form " + results.format() + ", not " + FORMAT);
+                throw new FileException(file.toString(), "has the form " + results.format() + ", not " + FORMAT);
             }
             return results;
         } catch (JsonProcessingException malformed) {
-            throw new ExperimentException(file.toString(), "is not a result: " + malformed.getOriginalMessage());
+            throw new FileException(file.toString(), "is not a result: " + malformed.getOriginalMessage());
         } catch (IOException unreadable) {
-            throw new ExperimentException(file.toString(), "cannot be read: " + unreadable.getMessage());
+            throw new FileException(file.toString(), "cannot be read: " + unreadable.getMessage());
         }
     }
 
--- a/lab/src/main/java/ferngrade/lab/RunCommand.java
+++ b/lab/src/main/java/ferngrade/lab/RunCommand.java
@@ -1,6 +1,7 @@
 package ferngrade.lab;
 
 import ferngrade.cli.Cli;
+import ferngrade.toml.FileException;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
@@ -42,7 +43,7 @@
         Experiment experiment;
         try {
             experiment = ExperimentReader.read(file);
-        } catch (ExperimentException bad) {
+        } catch (FileException bad) {
             System.err.println("ferngrade: " + bad.getMessage());
             return Cli.BAD_CONFIG;
         }
--- a/lab/src/main/java/ferngrade/lab/Search.java
+++ b/lab/src/main/java/ferngrade/lab/Search.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import ferngrade.emulator.Scenario;
+import ferngrade.toml.FileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -40,7 +41,7 @@
     }
 
     /** Searches, then makes it small. */
-    public Found run(int threads) throws InterruptedException, ExperimentException {
+    public Found run(int threads) throws InterruptedException, FileException {
         List<Trial.Result> results = new Laboratory(threads).run(experiment, each -> { });
         played = results.size();
         Trial.Result worst = null;
@@ -67,7 +68,7 @@
     }
 
     /** The experiment with this trial's setting, policy and seed alone. */
-    private JsonNode alone(Trial.Result worst) throws ExperimentException {
+    private JsonNode alone(Trial.Result worst) throws FileException {
         for (Experiment.Point point : experiment.points()) {
             if (point.label().equals(worst.point())) {
                 ObjectNode source = experiment.source().deepCopy();
@@ -87,10 +88,10 @@
                 return source;
             }
         }
-        throw new ExperimentException(experiment.name(), "has no setting " + worst.point());
+        throw new FileException(experiment.name(), "has no setting " + worst.point());
     }
 
-    private Found shrink(JsonNode found, Trial.Result shown) throws ExperimentException {
+    private Found shrink(JsonNode found, Trial.Result shown) throws FileException {
         JsonNode best = found;
         Trial.Result result = shown;
         for (int round = 0; round < MOST_ROUNDS; round++) {
@@ -126,7 +127,7 @@
     }
 
     /** Smaller experiments, the boldest first. */
-    private List<ObjectNode> candidates(JsonNode source) throws ExperimentException {
+    private List<ObjectNode> candidates(JsonNode source) throws FileException {
         List<ObjectNode> candidates = new ArrayList<>();
         Scenario scenario = scenario(source);
         JsonNode faults = source.get("fault");
@@ -165,7 +166,7 @@
         return candidates;
     }
 
-    private Scenario scenario(JsonNode source) throws ExperimentException {
+    private Scenario scenario(JsonNode source) throws FileException {
         return ExperimentReader.read(experiment.name(), folder, source).points().get(0).scenario();
     }
 
@@ -175,7 +176,7 @@
             played++;
             return new Trial(smaller.points().get(0).label(), smaller.policies().get(0), smaller.seeds().get(0))
                     .play(smaller.points().get(0).scenario(), smaller.mutation());
-        } catch (ExperimentException noExperiment) {
+        } catch (FileException noExperiment) {
             // A sweep may set what was just made smaller; that way down is closed, the others are not.
             return null;
         }
--- a/lab/src/main/java/ferngrade/lab/SearchCommand.java
+++ b/lab/src/main/java/ferngrade/lab/SearchCommand.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import ferngrade.cli.Cli;
+import ferngrade.toml.FileException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -46,7 +47,7 @@
             System.out.printf("%s after %d runs%n", found.breaksRule() ? "a rule is broken" : "no rule is broken",
                     found.played());
             return found.breaksRule() ? RunCommand.RULE_BROKEN : 0;
-        } catch (ExperimentException bad) {
+        } catch (FileException bad) {
             System.err.println("ferngrade: " + bad.getMessage());
             return Cli.BAD_CONFIG;
         }
--- a/lab/src/test/java/ferngrade/lab/ExperimentReaderTest.java
+++ b/lab/src/test/java/ferngrade/lab/ExperimentReaderTest.java
@@ -5,6 +5,7 @@
 
 import ferngrade.emulator.Fault;
 import ferngrade.emulator.Scenario;
+import ferngrade.toml.FileException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -18,7 +19,7 @@
     @TempDir
     private Path folder;
 
-    private Experiment read(String text) throws ExperimentException {
+    private Experiment read(String text) throws FileException {
         return ExperimentReader.read("x.toml", folder, text.replace(';', '\n'));
     }
 
@@ -45,19 +46,19 @@
         "[[workload.class]];name = 'a';effect = 'maybe' | x.toml:3: workload.class[0].effect is unknown: \"maybe\"; "
             + "there are safe, keyed, unsafe"})
     void aMistakeIsOneLineWithItsPlace(String text, String message) {
-        String said = assertThrows(ExperimentException.class, () -> read(text)).getMessage();
+        String said = assertThrows(FileException.class, () -> read(text)).getMessage();
         assertEquals(message, said);
     }
 
     @Test
     void whatIsNoTomlNamesItsLine() {
-        String said = assertThrows(ExperimentException.class, () -> read("a = 1;b = ;")).getMessage();
+        String said = assertThrows(FileException.class, () -> read("a = 1;b = ;")).getMessage();
         assertEquals("x.toml:2: is not TOML:", said.substring(0, 22));
         assertEquals(1, said.lines().count());
     }
 
     @Test
-    void unitsFaultsAndWhatIsLeftOut() throws ExperimentException {
+    void unitsFaultsAndWhatIsLeftOut() throws FileException {
         Experiment experiment = read("duration = '1.5min';seeds = [4, 9];[workload];rate = '120/min';period = '500ms';"
                 + "[[fault]];kind = 'zone-cut';at = '10s';length = '2s';target = 1");
         Scenario scenario = experiment.points().get(0).scenario();
@@ -72,7 +73,7 @@
     }
 
     @Test
-    void aSweepMakesEveryCombination() throws ExperimentException {
+    void aSweepMakesEveryCombination() throws FileException {
         Experiment experiment = read("[[fault]];kind = 'burst';[sweep];'workload.load' = [0.5, 0.9];"
                 + "'fault.0.size' = [2, 3, 4]");
         assertEquals(6, experiment.points().size());
@@ -94,7 +95,7 @@
         assertEquals(2, scenario.workload.trace.size());
         assertEquals(7.5, scenario.workload.trace.get(1).at());
         Files.writeString(folder.resolve("t.csv"), "5,plan,tenant-1,300\n4,plan,tenant-1,300\n");
-        String said = assertThrows(ExperimentException.class, () -> read("[workload];trace = 't.csv'")).getMessage();
+        String said = assertThrows(FileException.class, () -> read("[workload];trace = 't.csv'")).getMessage();
         assertEquals("t.csv:2: needs a time", said.substring(0, 21));
     }
 }
--- a/lab/src/main/java/ferngrade/lab/Section.java
+++ b/toml/src/main/java/ferngrade/toml/Section.java
@@ -1,11 +1,12 @@
-package ferngrade.lab;
+package ferngrade.toml;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import ferngrade.emulator.Quantity;
-import ferngrade.emulator.Quantity.Measure;
-import java.lang.reflect.Field;
-import java.lang.reflect.Modifier;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -17,12 +18,13 @@
 import java.util.regex.Pattern;
 
 /**
- * One table of an experiment. Each key that is asked for counts as known; {@link #end} finds those that nobody asked
+ * One table of a TOML file. Each key that is asked for counts as known; {@link #end} finds those that nobody asked
  * for. What is wrong is said with file, line and key.
  */
-final class Section {
+public final class Section {
     private static final Pattern TIME = Pattern.compile("([0-9]+(?:\\.[0-9]+)?)\\s*(us|ms|s|min|h)");
-    private static final Pattern RATE = Pattern.compile("([0-9]+(?:\\.[0-9]+)?)\\s*/\\s*(s|min)");
+
+    private static final TomlMapper TOML = new TomlMapper();
 
     private final String file;
     private final TomlLines lines;
@@ -30,35 +32,41 @@
     private final JsonNode table;
     private final Set<String> known = new HashSet<>();
 
-    Section(String file, TomlLines lines, String path, JsonNode table) {
+    /** A table at this path of a file, whose name and lines are for messages alone. */
+    public Section(String file, TomlLines lines, String path, JsonNode table) {
         this.file = file;
         this.lines = lines;
         this.path = path;
         this.table = table;
     }
 
-    ExperimentException bad(String key, String what) {
+    /** Says that this key of the table cannot be used, and why. */
+    public FileException bad(String key, String what) {
         String full = path.isEmpty() ? key : path + "." + key;
         int line = lines.of(full);
-        return new ExperimentException(file + (line > 0 ? ":" + line : ""), full + " " + what);
+        return new FileException(file + (line > 0 ? ":" + line : ""), full + " " + what);
     }
 
-    private JsonNode get(String key) {
+    /** The value as it stands, null if the key is left out. */
+    public JsonNode get(String key) {
         known.add(key);
         JsonNode value = table.get(key);
         return value == null || value.isNull() ? null : value;
     }
 
-    boolean has(String key) {
+    /** Whether the key is there. */
+    public boolean has(String key) {
         return get(key) != null;
     }
 
-    boolean numeric(String key) {
+    /** Whether the key is there and a number. */
+    public boolean numeric(String key) {
         JsonNode value = get(key);
         return value != null && value.isNumber();
     }
 
-    String text(String key, String absent) throws ExperimentException {
+    /** The text under a key. */
+    public String text(String key, String absent) throws FileException {
         JsonNode value = get(key);
         if (value == null) {
             return absent;
@@ -69,12 +77,14 @@
         return value.asText();
     }
 
-    double number(String key, double absent) throws ExperimentException {
+    /** The number, 0 or more, under a key. */
+    public double number(String key, double absent) throws FileException {
         JsonNode value = get(key);
         return value == null ? absent : number(key, value);
     }
 
-    private double number(String key, JsonNode value) throws ExperimentException {
+    /** The number, 0 or more, that a value is. */
+    public double number(String key, JsonNode value) throws FileException {
         if (!value.isNumber()) {
             throw bad(key, "is not a number: " + value);
         }
@@ -84,12 +94,14 @@
         return value.asDouble();
     }
 
-    double time(String key, double absent) throws ExperimentException {
+    /** The time under a key, ms. */
+    public double time(String key, double absent) throws FileException {
         JsonNode value = get(key);
         return value == null ? absent : time(key, value);
     }
 
-    private double time(String key, JsonNode value) throws ExperimentException {
+    /** The time that a value is, ms. */
+    public double time(String key, JsonNode value) throws FileException {
         Matcher time = TIME.matcher(value.isTextual() ? value.asText() : "");
         if (!time.matches()) {
             throw bad(key, "is not a time such as \"250ms\" or \"10s\": " + value);
@@ -104,15 +116,8 @@
         return Double.parseDouble(time.group(1)) * unit;
     }
 
-    private double rate(String key, JsonNode value) throws ExperimentException {
-        Matcher rate = RATE.matcher(value.isTextual() ? value.asText() : "");
-        if (!rate.matches()) {
-            throw bad(key, "is not a rate such as \"52/s\": " + value);
-        }
-        return Double.parseDouble(rate.group(1)) / (rate.group(2).equals("s") ? 1 : 60);
-    }
-
-    <E extends Enum<E>> E word(String key, Class<E> type, E absent) throws ExperimentException {
+    /** The constant under a key, in small letters with dashes. */
+    public <E extends Enum<E>> E word(String key, Class<E> type, E absent) throws FileException {
         String word = text(key, null);
         if (word == null) {
             return absent;
@@ -126,11 +131,13 @@
                 + String.join(", ", Arrays.stream(type.getEnumConstants()).map(each -> kebab(each.name())).toList()));
     }
 
-    static String kebab(String constant) {
+    /** A constant's name in small letters with dashes. */
+    public static String kebab(String constant) {
         return constant.toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
-    List<String> texts(String key, List<String> absent) throws ExperimentException {
+    /** The texts of a list, at least one where the key is there. */
+    public List<String> texts(String key, List<String> absent) throws FileException {
         JsonNode value = get(key);
         if (value == null) {
             return absent;
@@ -145,12 +152,13 @@
         return texts;
     }
 
-    List<JsonNode> values(String key) throws ExperimentException {
+    /** The values of a list, none where the key is left out. */
+    public List<JsonNode> values(String key) throws FileException {
         JsonNode value = get(key);
         return value == null ? List.of() : list(key, value);
     }
 
-    private List<JsonNode> list(String key, JsonNode value) throws ExperimentException {
+    private List<JsonNode> list(String key, JsonNode value) throws FileException {
         if (!value.isArray() || value.isEmpty()) {
             throw bad(key, "is not a list with something in it: " + value);
         }
@@ -160,7 +168,7 @@
     }
 
     /** The table under this key, an empty one if it is left out. */
-    Section section(String key) throws ExperimentException {
+    public Section section(String key) throws FileException {
         JsonNode value = get(key);
         if (value != null && !value.isObject()) {
             throw bad(key, "is not a table");
@@ -171,7 +179,7 @@
     }
 
     /** The tables of a list of tables, none if it is left out. */
-    List<Section> sections(String key) throws ExperimentException {
+    public List<Section> sections(String key) throws FileException {
         JsonNode value = get(key);
         List<Section> sections = new ArrayList<>();
         if (value != null) {
@@ -186,7 +194,8 @@
         return sections;
     }
 
-    List<String> keys() {
+    /** All keys, which count as known from here on. */
+    public List<String> keys() {
         List<String> keys = new ArrayList<>();
         for (Iterator<String> names = table.fieldNames(); names.hasNext();) {
             String name = names.next();
@@ -196,75 +205,34 @@
         return keys;
     }
 
-    /** Fills each plain field of {@code target} from the key that bears its name, in the unit that it is noted with. */
-    <T> T fill(T target) throws ExperimentException {
-        for (Field field : target.getClass().getFields()) {
-            if (Modifier.isStatic(field.getModifiers()) || Modifier.isFinal(field.getModifiers())) {
-                continue;
-            }
-            String key = field.getName().replaceAll("([A-Z])", "-$1").toLowerCase(Locale.ROOT);
-            Object value = plain(field, key);
-            if (value != null) {
-                try {
-                    field.set(target, value);
-                } catch (IllegalAccessException impossible) {
-                    throw new IllegalStateException(impossible);
-                }
-            }
-        }
-        return target;
+    /** The table at the top of a file. */
+    public static Section file(Path path) throws FileException {
+        String text = text(path);
+        return new Section(path.toString(), new TomlLines(text), "", parse(path.toString(), text));
     }
 
-    @SuppressWarnings({"unchecked", "rawtypes"})
-    private Object plain(Field field, String key) throws ExperimentException {
-        Class<?> type = field.getType();
-        boolean plain = type.isPrimitive() || type == String.class || type.isEnum();
-        JsonNode value = plain ? get(key) : null;
-        if (value == null) {
-            return null;
+    /** What a file says. */
+    public static String text(Path path) throws FileException {
+        try {
+            return Files.readString(path);
+        } catch (IOException unreadable) {
+            throw new FileException(path.toString(), "cannot be read: " + unreadable.getMessage());
         }
-        if (type == String.class) {
-            return text(key, null);
-        }
-        if (type.isEnum()) {
-            return word(key, (Class) type, null);
-        }
-        if (type == boolean.class) {
-            if (!value.isBoolean()) {
-                throw bad(key, "is not true or false: " + value);
-            }
-            return value.asBoolean();
-        }
-        Quantity quantity = field.getAnnotation(Quantity.class);
-        double figure = figure(key, value, quantity == null ? null : quantity.value());
-        if (type == int.class) {
-            if (figure != Math.rint(figure) || figure > 1e9) {
-                throw bad(key, "is not a whole number: " + value);
-            }
-            return (int) figure;
-        }
-        return figure;
     }
 
-    private double figure(String key, JsonNode value, Measure measure) throws ExperimentException {
-        if (measure == Measure.TIME) {
-            return time(key, value);
-        }
-        if (measure == Measure.RATE) {
-            return rate(key, value);
-        }
-        double figure = number(key, value);
-        if (measure == Measure.SHARE && figure > 1) {
-            throw bad(key, "must be between 0 and 1: " + value);
-        }
-        if (measure == Measure.POSITIVE && figure == 0) {
-            throw bad(key, "must be above 0");
+    /** The tree of a text; {@code file} is its name in messages. */
+    public static JsonNode parse(String file, String text) throws FileException {
+        try {
+            return TOML.readTree(text);
+        } catch (JsonProcessingException malformed) {
+            int line = malformed.getLocation() == null ? 0 : malformed.getLocation().getLineNr();
+            throw new FileException(file + (line > 0 ? ":" + line : ""),
+                    "is not TOML: " + malformed.getOriginalMessage().lines().findFirst().orElse(""));
         }
-        return figure;
     }
 
     /** Ends the reading: what nobody has asked for is unknown. */
-    void end() throws ExperimentException {
+    public void end() throws FileException {
         for (Iterator<String> names = table.fieldNames(); names.hasNext();) {
             String name = names.next();
             if (!known.contains(name)) {
--- a/lab/src/main/java/ferngrade/lab/TomlLines.java
+++ b/toml/src/main/java/ferngrade/toml/TomlLines.java
@@ -1,4 +1,4 @@
-package ferngrade.lab;
+package ferngrade.toml;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -9,13 +9,14 @@
  * Where each key of a TOML file stands, so that a message can name the line. The parser keeps no places; this reads
  * nothing but headers and the beginnings of lines, and what it does not recognise has no line.
  */
-final class TomlLines {
+public final class TomlLines {
     private static final Pattern HEADER = Pattern.compile("\\s*(\\[\\[?)\\s*([^\\]]+?)\\s*\\]\\]?\\s*(#.*)?");
     private static final Pattern KEY = Pattern.compile("\\s*(\"[^\"]+\"|'[^']+'|[A-Za-z0-9_.-]+)\\s*=.*");
 
     private final Map<String, Integer> lines = new HashMap<>();
 
-    TomlLines(String text) {
+    /** Reads where the keys of this text stand. */
+    public TomlLines(String text) {
         Map<String, Integer> counts = new HashMap<>();
         String table = "";
         int number = 0;
@@ -40,7 +41,7 @@
     }
 
     /** The line of a path such as {@code fleet.kind[1].speed}, of the table that holds it, or 0 if unknown. */
-    int of(String path) {
+    public int of(String path) {
         String at = path;
         while (!at.isEmpty()) {
             Integer line = lines.get(at);
--- /dev/null
+++ b/trials/src/main/java/ferngrade/trials/Judges.java
@@ -0,0 +1,62 @@
+package ferngrade.trials;
+
+import ferngrade.trials.History.Event;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Reads a trial's history for what must never be. */
+public final class Judges {
+    private Judges() { }
+
+    static List<Breach> judge(List<Event> events) {
+        List<Breach> breaches = new ArrayList<>();
+        Map<String, Long> highest = new HashMap<>();
+        Set<String> landed = new HashSet<>();
+        Map<String, String> owners = new HashMap<>();
+        for (Event each : events) {
+            if (each.what().equals("landed")) {
+                String shard = each.detail("shard");
+                long epoch = Long.parseLong(each.detail("epoch"));
+                long before = highest.merge(shard, epoch, Math::max);
+                if (epoch < before) {
+                    breaches.add(new Breach(each.at(), "fenced", shard + " under " + epoch + " landed after " + before));
+                }
+                if (!landed.add(shard + "@" + each.detail("due"))) {
+                    breaches.add(new Breach(each.at(), "once", shard + " landed twice for " + each.detail("due")));
+                }
+            } else if (each.what().equals("gained")) {
+                String before = owners.putIfAbsent(each.detail("shard") + " " + each.detail("epoch"), each.who());
+                if (before != null && !before.equals(each.who())) {
+                    breaches.add(new Breach(each.at(), "one owner", before + " and " + each.who() + " had "
+                            + each.detail("shard") + " under " + each.detail("epoch")));
+                }
+            } else if (each.what().equals("fault:")) {
+                breaches.add(new Breach(each.at(), "no fault", each.detail("line")));
+            }
+        }
+        return breaches;
+    }
+
+    /** Nobody may lose a duty from this time on. */
+    static List<Breach> kept(List<Event> events, double from) {
+        return events.stream().filter(each -> each.at() > from && each.what().equals("lost"))
+                .map(each -> new Breach(each.at(), "kept", each.who() + " lost " + each.detail("shard"))).toList();
+    }
+
+    /** The longest time, ms, in which nothing of a shard landed, from the first that did. */
+    public static double longestGap(List<Event> events, String shard) {
+        double last = Double.NaN;
+        double longest = 0;
+        for (Event each : events) {
+            if (each.what().equals("landed") && each.detail("shard").equals(shard)) {
+                longest = Double.isNaN(last) ? 0 : Math.max(longest, each.at() - last);
+                last = each.at();
+            }
+        }
+        return longest;
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/ferngrade/trials/TrialFile.java
@@ -0,0 +1,91 @@
+package ferngrade.trials;
+
+import ferngrade.toml.FileException;
+import ferngrade.toml.Section;
+import ferngrade.toml.TomlLines;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A trial: how many members, and what is done to them when.
+ *
+ * @param name the trial's name
+ * @param title what it shows
+ * @param members how many members, all of them voters
+ * @param hold how long a hold lasts, ms
+ * @param every the period of its recurring jobs, ms
+ * @param keeps whether nobody may lose a duty in it
+ * @param steps what is done, in the order of the times
+ */
+public record TrialFile(String name, String title, int members, double hold, double every, boolean keeps,
+        List<Step> steps) {
+    /** The trials that come with the program. */
+    public static final List<String> SHIPPED = List.of("owner-killed", "owner-stopped", "late-effect", "owner-cut-off",
+            "heard-not-hearing", "two-owners-die", "three-of-five-restarted", "handed-over", "lost-disk", "short-pause",
+            "minority");
+
+    /** What can be done. */
+    public enum Deed {
+        /** SIGKILL; started again after {@code for}, if that is there. */
+        KILL,
+        /** SIGSTOP, and SIGCONT after {@code for}. */
+        STOP,
+        /** Killed, and started again after {@code for} with an empty folder. */
+        FORGET,
+        /** Its connections to and from the other members are cut for {@code for}. */
+        CUT,
+        /** What it sends to other members is silently lost for {@code for}; it goes on hearing them. */
+        MUTE,
+        /** What others send it is silently lost for {@code for}; they go on hearing it. */
+        DEAFEN,
+        /** Its effects wait on their way for {@code for}, and then land. */
+        HOLD_EFFECTS,
+        /** SIGTERM: it gives back what it holds and ends; started again after {@code for}. */
+        LEAVE
+    }
+
+    /**
+     * One step: {@code who} is a member's name, {@code owner} (of the first job), {@code owner2} (of the second),
+     * {@code leader}, {@code another} (neither), or {@code all}; {@code length} is 0 for good.
+     */
+    public record Step(double at, Deed deed, String who, double length) { }
+
+    /** Reads a trial's text; {@code file} is its name in messages. */
+    public static TrialFile read(String file, String text) throws FileException {
+        Section top = new Section(file, new TomlLines(text), "", Section.parse(file, text));
+        List<Step> steps = new ArrayList<>();
+        for (Section each : top.sections("step")) {
+            Deed deed = each.word("do", Deed.class, null);
+            if (deed == null) {
+                throw each.bad("do", "is missing");
+            }
+            String who = each.text("who", null);
+            if (who == null) {
+                throw each.bad("who", "is missing");
+            }
+            steps.add(new Step(each.time("at", 0), deed, who, each.time("for", 0)));
+            each.end();
+        }
+        double members = top.number("members", 3);
+        if (members < 1 || members > 9 || members != Math.rint(members)) {
+            throw top.bad("members", "must be a whole number from 1 to 9");
+        }
+        TrialFile trial = new TrialFile(top.text("name", file), top.text("title", ""), (int) members,
+                top.time("hold", 1500), top.time("every", 200), top.text("keeps", "no").equals("yes"), List.copyOf(steps));
+        top.end();
+        return trial;
+    }
+
+    /** A trial that comes with the program, null if there is none of this name. */
+    public static TrialFile shipped(String name) throws FileException {
+        try (InputStream in = TrialFile.class.getResourceAsStream("/trials/" + name + ".toml")) {
+            return in == null ? null : read(name, new String(in.readAllBytes(), StandardCharsets.UTF_8));
+        } catch (IOException unreadable) {
+            throw new UncheckedIOException(unreadable);
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/ferngrade/trials/VirtualMember.java
@@ -0,0 +1,214 @@
+package ferngrade.trials;
+
+import ferngrade.agreement.Codec;
+import ferngrade.agreement.Machine;
+import ferngrade.agreement.Voter;
+import ferngrade.agreement.VoterLog;
+import ferngrade.durable.FaultyDisk;
+import ferngrade.duty.Command;
+import ferngrade.duty.DutyTable;
+import ferngrade.duty.DutyTable.Slot;
+import ferngrade.duty.Holder;
+import ferngrade.duty.Shard;
+import ferngrade.node.Clock;
+import ferngrade.node.Timers;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import io.microraft.persistence.RaftStore;
+import java.io.IOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/** One process of a member in virtual time: the program's own voter, table and holder on a disk that can fail. */
+final class VirtualMember {
+    /** Ms between two looks at what the member owns. */
+    private static final double ACT = 60;
+    private static final double PATIENCE = 900;
+
+    final String name;
+    private final VirtualFleet fleet;
+    private final double rate;
+    private final double began;
+    private final DutyTable table = new DutyTable();
+    private final Holder holder;
+    private final Voter voter;
+    private final Timers timers;
+    private final List<Runnable> held = new ArrayList<>();
+    private final Map<Shard, Long> acting = new HashMap<>();
+    private boolean alive = true;
+    private boolean paused;
+
+    /** Starts a process of the member; its clock runs at this rate and from zero. */
+    VirtualMember(VirtualFleet fleet, String name, FaultyDisk disk, double rate, long seed) throws IOException {
+        this.fleet = fleet;
+        this.name = name;
+        this.rate = rate;
+        this.began = fleet.time.now();
+        Clock clock = () -> (fleet.time.now() - began) * rate;
+        this.timers = new Timers(clock,
+                // A little late: rounded down, the clock would not be there yet when it wakes, for ever.
+                (millis, run) -> fleet.time.after(millis / rate + 1e-6, () -> enter(run)));
+        Codec codec = new Codec(Command.CLASSES);
+        VoterLog log = VoterLog.open(disk, codec, 1 << 16, failure -> die());
+        RaftStore store = fleet.mutant == Mutant.UNSYNCED_VOTE ? unsyncedVotes(log) : log;
+        this.voter = new Voter(name, new Voter.Group("trial", fleet.names, fleet.names), watched(),
+                new Voter.Kept(store, log.restored()),
+                new Voter.Surroundings(clock, timers, task -> fleet.time.after(0, () -> enter(task)), seed), codec,
+                (to, message) -> fleet.send(name, to, message), new Voter.Terms(fleet.heartbeat, 400));
+        this.holder = new Holder(name, Long.toHexString(seed), fleet.shards,
+                new Holder.Terms(fleet.hold, fleet.mutant == Mutant.NO_DRIFT_BOUND ? 0 : fleet.drift), this::propose);
+        voter.start();
+        tick();
+        act();
+    }
+
+    /** The log writes the term and the vote, and syncs them with whatever comes later. */
+    private static RaftStore unsyncedVotes(VoterLog log) {
+        RaftTermPersistentState[] late = new RaftTermPersistentState[1];
+        return (RaftStore) Proxy.newProxyInstance(RaftStore.class.getClassLoader(), new Class<?>[] {RaftStore.class},
+                (proxy, method, arguments) -> {
+                    if (method.getName().equals("persistAndFlushTerm")) {
+                        late[0] = (RaftTermPersistentState) arguments[0];
+                        return null;
+                    }
+                    if (method.getName().equals("persistLogEntries") && late[0] != null) {
+                        log.persistAndFlushTerm(late[0]);
+                        late[0] = null;
+                    }
+                    try {
+                        return method.invoke(log, arguments);
+                    } catch (InvocationTargetException failed) {
+                        throw failed.getCause();
+                    }
+                });
+    }
+
+    /** The table, with what it applies told to the judges. */
+    private Machine watched() {
+        return new Machine() {
+            @Override
+            public Object apply(long index, Object command) {
+                fleet.applied(index, command);
+                return table.apply(index, command);
+            }
+
+            @Override
+            public Object snapshot() {
+                return table.snapshot();
+            }
+
+            @Override
+            public void restore(long index, Object snapshot) {
+                table.restore(index, snapshot);
+            }
+        };
+    }
+
+    private double now() {
+        return (fleet.time.now() - began) * rate;
+    }
+
+    /** Runs something of this process: later if it stands still, never once it is dead. */
+    void enter(Runnable run) {
+        if (paused && alive) {
+            held.add(run);
+        } else if (alive) {
+            try {
+                run.run();
+            } catch (RuntimeException | AssertionError fault) {
+                // A disk that has failed has ended the process; anything else must not happen.
+                if (alive) {
+                    fleet.fault(name, fault);
+                    die();
+                }
+            }
+        }
+    }
+
+    boolean alive() {
+        return alive;
+    }
+
+    void die() {
+        alive = false;
+    }
+
+    void pause(boolean begins) {
+        paused = begins;
+        if (!begins) {
+            List<Runnable> waiting = List.copyOf(held);
+            held.clear();
+            waiting.forEach(this::enter);
+        }
+    }
+
+    void drain() {
+        enter(holder::drain);
+    }
+
+    void receive(String from, byte[] message) {
+        enter(() -> voter.handle(from, message));
+    }
+
+    Voter.View view() {
+        return voter.view();
+    }
+
+    /** The epoch under which this process would act for a shard now. */
+    OptionalLong epoch(Shard shard) {
+        return alive ? holder.epoch(shard, now(), table) : OptionalLong.empty();
+    }
+
+    void propose(Command command) {
+        double asked = now();
+        voter.propose(command, PATIENCE, new Voter.Outcome() {
+            @Override
+            public void done(Object result) {
+                holder.answered(fleet.mutant == Mutant.HOLD_FROM_ANSWER ? now() : asked, command, result);
+            }
+
+            @Override
+            public void unknown(String why) { }
+        });
+    }
+
+    private void tick() {
+        holder.tick(now(), fleet.wall(name), table);
+        timers.after(holder.period(), this::tick);
+    }
+
+    /** Acts for what is held: each time for the next due time, once the log has let it. */
+    private void act() {
+        for (Shard shard : fleet.shards) {
+            OptionalLong epoch = holder.epoch(shard, now(), table);
+            Slot slot = table.slot(shard);
+            long due = fleet.wall(name) / 100 * 100;
+            if (epoch.isPresent() && due > slot.due() && acting.getOrDefault(shard, 0L) < due) {
+                acting.put(shard, due);
+                fleet.judgeHold(this, shard);
+                voter.propose(new Command.Begin(shard, epoch.getAsLong(), due), PATIENCE, new Voter.Outcome() {
+                    @Override
+                    public void done(Object result) {
+                        begun(shard, epoch.getAsLong(), due, result);
+                    }
+
+                    @Override
+                    public void unknown(String why) { }
+                });
+            }
+        }
+        timers.after(ACT, this::act);
+    }
+
+    private void begun(Shard shard, long epoch, long due, Object result) {
+        boolean accepted = result instanceof Command.Begun begun && begun.verdict() == Command.Verdict.ACCEPTED;
+        if (accepted && holder.epoch(shard, now(), table).equals(OptionalLong.of(epoch))) {
+            fleet.judgeHold(this, shard);
+            fleet.effect(name, shard, epoch, due);
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/ferngrade/trials/ArchitectureTest.java
@@ -0,0 +1,30 @@
+package ferngrade.trials;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** What the boundaries of the fleet's modules cannot hold. */
+class ArchitectureTest {
+    private static final JavaClasses CLASSES = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("ferngrade");
+
+    @Test
+    void whoOwnsADutyIsDecidedWithoutClockSocketFileOrThread() {
+        noClasses().that().resideInAPackage("ferngrade.duty")
+                .should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio.channels..",
+                        "java.nio.file..", "java.io..", "java.time..", "java.util.concurrent..", "io.netty..")
+                .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class,
+                        "currentTimeMillis")
+                .check(CLASSES);
+    }
+
+    @Test
+    void packagesFormNoCircle() {
+        slices().matching("ferngrade.(*)..").should().beFreeOfCycles().check(CLASSES);
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/ferngrade/trials/TrialRunTest.java
@@ -0,0 +1,50 @@
+package ferngrade.trials;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ferngrade.toml.FileException;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Trials of several processes of the program. */
+class TrialRunTest {
+    private static final List<String> PROGRAM = List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m", "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("surefire.test.class.path",
+                    System.getProperty("java.class.path")), "ferngrade.Main");
+
+    @TempDir
+    private Path folder;
+
+    private List<Breach> play(String name, Mutant mutant) throws Exception {
+        return new TrialRun(TrialFile.shipped(name), 1, mutant, PROGRAM, folder).run().breaches();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"owner-killed", "owner-stopped", "late-effect", "lost-disk"})
+    void itHolds(String name) throws Exception {
+        assertEquals(List.of(), play(name, Mutant.NONE));
+    }
+
+    @Test
+    void aTakerThatLooksAtNoEpochIsFound() throws Exception {
+        List<Breach> breaches = play("late-effect", Mutant.NO_EPOCH_CHECK);
+        assertTrue(breaches.stream().anyMatch(each -> each.rule().equals("fenced")), breaches.toString());
+    }
+
+    @Test
+    void everyTrialThatIsListedCanBeReadAndAWrongOneIsSaidWithItsLine() throws FileException {
+        for (String name : TrialFile.SHIPPED) {
+            assertEquals(name, TrialFile.shipped(name).name());
+        }
+        FileException bad = assertThrows(FileException.class,
+                () -> TrialFile.read("t.toml", "name = \"x\"\n[[step]]\nwho = \"a\"\ndo = \"sing\"\n"));
+        assertTrue(bad.getMessage().startsWith("t.toml:4: step[0].do is unknown"), bad.getMessage());
+    }
+}
