Settle each due time by one state machine that outlives lost answers and a lagging table

Ruled out: holds, sessions and epochs (all as they should be in the history), the taker (nothing refused).

Causes: - `MemberProcess.act`: a `Begin` whose answer never came but which the log had taken left the shard open under the owner's own epoch, and `Recurring.decide` said WAIT to that for ever. - `SIGTERM` to the leader left all proposals waiting for an election.

Change: Performer; a due time is settled before the next is begun (`OPEN`); the middle of the clocks is that of all members that have not left, silent ones by what they told last, and a member far from it goes by it; a member that leaves has another voter lead first.

--- a/agreement/src/main/java/ferngrade/agreement/Voter.java
+++ b/agreement/src/main/java/ferngrade/agreement/Voter.java
@@ -153,6 +153,13 @@
         timers.after(patience / 2, this::watch);
     }
 
+    /** Has another voter lead, if this one does: a leader that just ends leaves all waiting for an election. */
+    public void yield() {
+        voters.stream().filter(each -> !each.equals(name)).findFirst()
+                .filter(other -> name.equals(view().leader()))
+                .ifPresent(other -> node.transferLeadership(new Endpoint(other)));
+    }
+
     /** Takes no part any more. */
     public void stop() {
         node.terminate();
--- a/duty/src/main/java/ferngrade/duty/Command.java
+++ b/duty/src/main/java/ferngrade/duty/Command.java
@@ -7,7 +7,7 @@
     /** The classes of commands, results and snapshots, in the order of the format. */
     List<Class<?>> CLASSES = List.of(Shard.class, Open.class, Renew.class, Expire.class, Close.class, Release.class,
             Drain.class, Transfer.class, Begin.class, Finish.class, Opened.class, Begun.class, Verdict.class,
-            DutyTable.Session.class, DutyTable.Slot.class, DutyTable.Image.class);
+            DutyTable.Session.class, DutyTable.Slot.class, DutyTable.Image.class, DutyTable.Wall.class);
 
     /** A process of this member takes duties from here on; the nonce tells it from others under that name. */
     record Open(String member, String nonce, long wall, List<Shard> shards) implements Command { }
@@ -51,6 +51,8 @@
         /** This or something later was begun before. */
         REPEATED,
         /** It lies ahead of most members' clocks. */
-        EARLY
+        EARLY,
+        /** What was begun last is not settled yet. */
+        OPEN
     }
 }
--- a/duty/src/main/java/ferngrade/duty/DutyTable.java
+++ b/duty/src/main/java/ferngrade/duty/DutyTable.java
@@ -59,10 +59,14 @@
     }
 
     /** All of the table, as a snapshot holds it. */
-    record Image(long index, long lastEpoch, List<Session> sessions, List<Slot> slots) { }
+    record Image(long index, long lastEpoch, List<Session> sessions, List<Slot> slots, List<Wall> walls) { }
+
+    /** The wall clock that a member told last. */
+    record Wall(String member, long time) { }
 
     private final TreeMap<Long, Session> sessions = new TreeMap<>();
     private final TreeMap<Shard, Slot> slots = new TreeMap<>();
+    private final TreeMap<String, Long> walls = new TreeMap<>();
     private long lastEpoch;
     private long index;
 
@@ -106,12 +110,19 @@
         if (command instanceof Command.Open open) {
             return open(open);
         } else if (command instanceof Command.Renew renew) {
-            return sessions.computeIfPresent(renew.session(), (id, session) -> session.renewed(renew.wall())) != null;
+            Session renewed = sessions.computeIfPresent(renew.session(), (id, session) -> session.renewed(renew.wall()));
+            if (renewed != null) {
+                walls.put(renewed.member(), renew.wall());
+            }
+            return renewed != null;
         } else if (command instanceof Command.Expire expire) {
             Session session = sessions.get(expire.session());
             return session != null && session.renewals() == expire.renewals() && end(session, "silent");
         } else if (command instanceof Command.Close close) {
             Session session = sessions.get(close.session());
+            if (session != null) {
+                walls.remove(session.member());
+            }
             return session != null && end(session, "left");
         } else if (command instanceof Command.Release release) {
             Slot slot = slots.get(release.shard());
@@ -131,6 +142,7 @@
     }
 
     private Opened open(Command.Open open) {
+        walls.put(open.member(), open.wall());
         for (Session session : sessions.values()) {
             if (session.member().equals(open.member()) && session.nonce().equals(open.nonce())) {
                 // Asked for again: a hold may be counted from this asking, so it is a renewal too.
@@ -186,8 +198,7 @@
      * the members' hashes with the shard (rendezvous), so that a change of one member moves its own shards alone.
      */
     private Session best(Slot slot) {
-        Map<String, Session> newest = new TreeMap<>();
-        sessions.values().forEach(session -> newest.put(session.member(), session));
+        Map<String, Session> newest = newest();
         newest.values().removeIf(Session::draining);
         Session wanted = newest.get(slot.wanted());
         if (wanted != null) {
@@ -205,6 +216,13 @@
         return best;
     }
 
+    /** The last session of each member: a process before it may not have been seen to be over. */
+    private Map<String, Session> newest() {
+        Map<String, Session> newest = new TreeMap<>();
+        sessions.values().forEach(session -> newest.put(session.member(), session));
+        return newest;
+    }
+
     /** Asks owners to give back what another should have, and gives away what is free. */
     private void rebalance() {
         for (Slot slot : List.copyOf(slots.values())) {
@@ -232,15 +250,33 @@
         if (begin.due() <= slot.due()) {
             return Verdict.REPEATED;
         }
-        List<Long> walls = new ArrayList<>(sessions.values().stream().map(Session::wall).sorted().toList());
-        // The lower middle: where two members differ, the one that is behind counts.
-        if (begin.due() > walls.get((walls.size() - 1) / 2) + AHEAD) {
+        if (slot.open()) {
+            return Verdict.OPEN;
+        }
+        if (begin.due() > middle() + AHEAD) {
             return Verdict.EARLY;
         }
         slots.put(slot.shard(), slot.at(begin.due(), true, begin.epoch(), ""));
         return Verdict.ACCEPTED;
     }
 
+    /**
+     * The lower middle of the wall clocks of all members that have not left: where two differ, the one that is behind
+     * counts. One that is silent counts with what it told last, so that it cannot lend its place to one that is wrong.
+     */
+    private long middle() {
+        List<Long> sorted = walls.values().stream().sorted().toList();
+        return sorted.isEmpty() ? 0 : sorted.get((sorted.size() - 1) / 2);
+    }
+
+    /**
+     * The time, Unix ms, by which a member goes whose wall clock says this: its own, unless that is far from the middle of
+     * the members' clocks, which is as old as their renewals.
+     */
+    public long wall(long own) {
+        return Math.abs(own - middle()) > AHEAD ? middle() : own;
+    }
+
     private boolean finish(Command.Finish finish) {
         Slot slot = slots.get(finish.shard());
         if (slot == null || slot.epoch() != finish.epoch() || slot.due() != finish.due() || !slot.open()) {
@@ -252,7 +288,8 @@
 
     @Override
     public Object snapshot() {
-        return new Image(index, lastEpoch, new ArrayList<>(sessions.values()), new ArrayList<>(slots.values()));
+        return new Image(index, lastEpoch, new ArrayList<>(sessions.values()), new ArrayList<>(slots.values()),
+                new ArrayList<>(walls.entrySet().stream().map(each -> new Wall(each.getKey(), each.getValue())).toList()));
     }
 
     @Override
@@ -264,5 +301,7 @@
         image.sessions().forEach(session -> sessions.put(session.id(), session));
         slots.clear();
         image.slots().forEach(slot -> slots.put(slot.shard(), slot));
+        walls.clear();
+        image.walls().forEach(each -> walls.put(each.member(), each.time()));
     }
 }
--- a/duty/src/main/java/ferngrade/duty/Recurring.java
+++ b/duty/src/main/java/ferngrade/duty/Recurring.java
@@ -21,6 +21,8 @@
         WAIT,
         /** Put it in, after the log has accepted that. */
         BEGIN,
+        /** This owner began it, and the log does not know yet what came of it. */
+        BEGUN,
         /** An earlier owner began it and did not say what came of it: put it in again. */
         REPEAT,
         /** The same, but it must not be put in twice: nobody knows whether it was. */
@@ -39,11 +41,12 @@
 
     /** Decides by the wall clock, Unix ms, what the log holds of the shard, and the epoch of this owner. */
     public Decision decide(long wall, Slot slot, long epoch) {
-        if (slot.open() && slot.begunBy() != epoch) {
-            return new Decision(repeat ? Step.REPEAT : Step.DOUBT, slot.due());
+        if (slot.open()) {
+            Step open = repeat ? Step.REPEAT : Step.DOUBT;
+            return new Decision(slot.begunBy() == epoch ? Step.BEGUN : open, slot.due());
         }
         long due = Math.floorDiv(wall, every) * every;
-        if (slot.open() || due <= slot.due()) {
+        if (due <= slot.due()) {
             return new Decision(Step.WAIT, slot.due());
         }
         boolean late = wall - due > ON_TIME * every;
--- a/fleet/src/main/java/ferngrade/fleet/JobSender.java
+++ b/fleet/src/main/java/ferngrade/fleet/JobSender.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.concurrent.Executor;
@@ -44,18 +45,21 @@
         return String.format("%016x%016x", hash[0], hash[1]);
     }
 
-    /** Puts the job in; {@code holds} is asked at the last moment before each try, and the result told once. */
-    void put(Job job, long due, long epoch, BooleanSupplier holds, Consumer<String> result) {
+    /**
+     * Puts the job in; {@code holds} is asked at the last moment before each try, and the result told
+     * once: empty if the shard is no longer held and the job was certainly not put in.
+     */
+    void put(Job job, long due, long epoch, BooleanSupplier holds, Consumer<Optional<String>> result) {
         attempt(job, due, epoch, holds, result, 0);
     }
 
-    private void attempt(Job job, long due, long epoch, BooleanSupplier holds, Consumer<String> result, int number) {
+    private void attempt(Job job, long due, long epoch, BooleanSupplier holds, Consumer<Optional<String>> result, int number) {
         if (number >= MOST_ROUNDS * targets.size()) {
-            result.accept("refused");
+            result.accept(Optional.of("refused"));
             return;
         }
         if (!holds.getAsBoolean()) {
-            result.accept("given up: no longer held");
+            result.accept(Optional.empty());
             return;
         }
         InetSocketAddress target = targets.get(number % targets.size());
@@ -79,9 +83,9 @@
             if (untaken || answer == null && job.effect() != Effect.UNSAFE) {
                 attempt(job, due, epoch, holds, result, number + 1);
             } else if (answer == null) {
-                result.accept("in doubt: " + reason(failure));
+                result.accept(Optional.of("in doubt: " + reason(failure)));
             } else {
-                result.accept(answer.statusCode() == 200 ? "served" : "failed: " + answer.statusCode());
+                result.accept(Optional.of(answer.statusCode() == 200 ? "served" : "failed: " + answer.statusCode()));
             }
         }, loop);
     }
--- a/fleet/src/main/java/ferngrade/fleet/MemberProcess.java
+++ b/fleet/src/main/java/ferngrade/fleet/MemberProcess.java
@@ -6,9 +6,8 @@
 import ferngrade.durable.FolderDisk;
 import ferngrade.duty.Command;
 import ferngrade.duty.DutyTable;
-import ferngrade.duty.DutyTable.Slot;
 import ferngrade.duty.Holder;
-import ferngrade.duty.Recurring;
+import ferngrade.duty.Performer;
 import ferngrade.duty.Shard;
 import ferngrade.fleet.FleetFile.Job;
 import ferngrade.node.Clock;
@@ -19,11 +18,9 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -51,7 +48,7 @@
     private final Timers timers;
     private final DutyTable table = new DutyTable();
     private final Map<Shard, Long> held = new HashMap<>();
-    private final Set<Shard> acting = new HashSet<>();
+    private final Map<Shard, Performer> performers = new HashMap<>();
     private final FolderDisk disk;
     private final Links links;
     private final Voter voter;
@@ -93,6 +90,8 @@
                 links::send, new Voter.Terms(file.heartbeat(), SNAPSHOT_EVERY));
         this.holder = new Holder(name, Long.toHexString(seed), file.shards(), file.terms(), this::propose);
         this.jobs = new JobSender(file.name(), file.targets(), loop);
+        file.jobs().forEach(job -> performers.put(job.when().shard(), new Performer(job.when(), holder, table,
+                actions(job))));
     }
 
     private Voter voter() {
@@ -162,11 +161,8 @@
     private void act() {
         for (Job job : file.jobs()) {
             Shard shard = job.when().shard();
-            OptionalLong epoch = holder.epoch(shard, clock.now(), table);
-            tellHeld(shard, epoch);
-            if (epoch.isPresent() && !acting.contains(shard)) {
-                act(job, epoch.getAsLong());
-            }
+            tellHeld(shard, holder.epoch(shard, clock.now(), table));
+            performers.get(shard).look(clock.now(), wall.getAsLong());
         }
         timers.after(ACT, () -> guarded(this::act));
     }
@@ -181,76 +177,39 @@
         }
     }
 
-    private void act(Job job, long epoch) {
-        Slot slot = table.slot(job.when().shard());
-        Recurring.Decision decision = job.when().decide(wall.getAsLong(), slot, epoch);
-        switch (decision.step()) {
-            case BEGIN, SKIP -> {
-                acting.add(slot.shard());
-                voter.propose(new Command.Begin(slot.shard(), epoch, decision.due()), PATIENCE, new Voter.Outcome() {
+    /** Does for a job's performer what it decides. */
+    private Performer.Actions actions(Job job) {
+        Shard shard = job.when().shard();
+        return new Performer.Actions() {
+            @Override
+            public void propose(Command command, Consumer<Object> done, Runnable unknown) {
+                voter.propose(command, PATIENCE, new Voter.Outcome() {
                     @Override
                     public void done(Object result) {
-                        begun(job, epoch, decision, result);
+                        if (result instanceof Command.Begun begun && begun.verdict() != Command.Verdict.ACCEPTED) {
+                            log.accept("not begun job=" + shard.duty() + " verdict=" + begun.verdict());
+                        }
+                        done.accept(result);
                     }
 
                     @Override
                     public void unknown(String why) {
-                        // It may be in the log: the table says so soon, and what is open is settled by the next look.
-                        acting.remove(slot.shard());
+                        unknown.run();
                     }
                 });
             }
-            case REPEAT -> {
-                acting.add(slot.shard());
-                put(job, epoch, decision.due());
-            }
-            case DOUBT -> {
-                acting.add(slot.shard());
-                finish(job, epoch, decision.due(), "in doubt: its owner was lost while putting it in");
-            }
-            default -> { }
-        }
-    }
-
-    private void begun(Job job, long epoch, Recurring.Decision decision, Object result) {
-        Command.Verdict verdict = result instanceof Command.Begun begun ? begun.verdict() : Command.Verdict.STALE;
-        if (verdict != Command.Verdict.ACCEPTED) {
-            log.accept("not begun job=" + job.when().name() + " due=" + decision.due() + " verdict=" + verdict);
-            acting.remove(job.when().shard());
-        } else if (decision.step() == Recurring.Step.SKIP) {
-            finish(job, epoch, decision.due(), "skipped");
-        } else {
-            put(job, epoch, decision.due());
-        }
-    }
-
-    private void put(Job job, long epoch, long due) {
-        Shard shard = job.when().shard();
-        jobs.put(job, due, epoch, () -> holder.epoch(shard, clock.now(), table).equals(OptionalLong.of(epoch)),
-                result -> guarded(() -> finish(job, epoch, due, result)));
-    }
-
-    private void finish(Job job, long epoch, long due, String result) {
-        log.accept("put in job=" + job.when().name() + " due=" + due + " epoch=" + epoch + " result=" + result);
-        voter.propose(new Command.Finish(job.when().shard(), epoch, due, result), PATIENCE, new Voter.Outcome() {
-            @Override
-            public void done(Object known) {
-                acting.remove(job.when().shard());
-            }
 
             @Override
-            public void unknown(String why) {
-                // Said again until the log has it, or another owner has settled it.
-                boolean open = holder.epoch(job.when().shard(), clock.now(), table).isPresent();
-                timers.after(open ? PATIENCE / 4 : 0, () -> guarded(() -> {
-                    if (open) {
-                        finish(job, epoch, due, result);
-                    } else {
-                        acting.remove(job.when().shard());
-                    }
-                }));
+            public void put(long due, long epoch) {
+                jobs.put(job, due, epoch,
+                        () -> holder.epoch(shard, clock.now(), table).equals(OptionalLong.of(epoch)),
+                        result -> guarded(() -> {
+                            log.accept("put in job=" + shard.duty() + " due=" + due + " epoch=" + epoch + " result="
+                                    + result.orElse("not put in"));
+                            result.ifPresentOrElse(performers.get(shard)::came, performers.get(shard)::notPut);
+                        }));
             }
-        });
+        };
     }
 
     // ---- Operators ----
@@ -287,6 +246,7 @@
     void leave(double patience) {
         loop.execute(() -> {
             log.accept("leaving");
+            voter.yield();
             holder.drain();
             timers.after(patience, () -> ended.complete(0));
             whenLeft();
@@ -294,6 +254,8 @@
     }
 
     private void whenLeft() {
+        // Looked at often: each step of the hand-over waits for the one before it to be in the log.
+        holder.tick(clock.now(), wall.getAsLong(), table);
         if (holder.left()) {
             log.accept("left: everything was given back");
             ended.complete(0);
