--- a/agreement/src/main/java/ferngrade/agreement/Voter.java
+++ b/agreement/src/main/java/ferngrade/agreement/Voter.java
@@ -42,7 +42,7 @@
     /** Heartbeats without a word from a leader after which another is elected. */
     private static final int SILENT_BEATS = 5;
     /** Times that silence after which a voter that does nothing about it is taken to be stuck. */
-    private static final int STUCK = 3;
+    private static final int STUCK = 2;
     private static final int MOST_PENDING = 20_000;
 
     private final String name;
@@ -150,7 +150,7 @@
             node.handle(new DefaultVoteRequestOrBuilder().setGroupId(fleet).setSender(new Endpoint(other))
                     .setTerm(view.term() + 1).setLastLogTerm(0).setLastLogIndex(0).setSticky(false).build());
         }
-        timers.after(patience / 2, this::watch);
+        timers.after(patience / 4, this::watch);
     }
 
     /** Has another voter lead, if this one does: a leader that just ends leaves all waiting for an election. */
--- a/duty/src/main/java/ferngrade/duty/Holder.java
+++ b/duty/src/main/java/ferngrade/duty/Holder.java
@@ -79,7 +79,7 @@
             askAt = now;
         }
         if (now >= askAt) {
-            askAt = now + terms.hold() / RENEWALS;
+            askAt = now + (draining ? period() : terms.hold() / RENEWALS);
             proposer.propose(session == 0 ? new Command.Open(member, nonce + "-" + opened, wall, shards)
                     : new Command.Renew(session, wall));
             if (draining && session != 0) {
--- a/fleet/src/main/java/ferngrade/fleet/MemberProcess.java
+++ b/fleet/src/main/java/ferngrade/fleet/MemberProcess.java
@@ -246,7 +246,6 @@
     void leave(double patience) {
         loop.execute(() -> {
             log.accept("leaving");
-            voter.yield();
             holder.drain();
             timers.after(patience, () -> ended.complete(0));
             whenLeft();
@@ -256,11 +255,15 @@
     private void whenLeft() {
         // Looked at often: each step of the hand-over waits for the one before it to be in the log.
         holder.tick(clock.now(), wall.getAsLong(), table);
-        if (holder.left()) {
+        if (!holder.left()) {
+            timers.after(5, this::whenLeft);
+        } else if (name.equals(voter.view().leader())) {
+            // A leader that ends before another has taken its place leaves all waiting for an election.
+            voter.yield();
+            timers.after(50, this::whenLeft);
+        } else {
             log.accept("left: everything was given back");
             ended.complete(0);
-        } else {
-            timers.after(5, this::whenLeft);
         }
     }
 
