--- a/agreement/src/main/java/ferngrade/agreement/Voter.java
+++ b/agreement/src/main/java/ferngrade/agreement/Voter.java
@@ -147,8 +147,7 @@
                 && clock.now() - Math.max(leaderHeard, campaigned) > patience) {
             leaderHeard = clock.now();
             String other = voters.stream().filter(each -> !each.equals(name)).findFirst().orElse(name);
-            node.handle(new DefaultVoteRequestOrBuilder().setGroupId(fleet).setSender(new Endpoint(other))
-                    .setTerm(view.term() + 1).setLastLogTerm(0).setLastLogIndex(0).setSticky(false).build());
+            moveTo(view.term() + 1, other);
         }
         timers.after(patience / 4, this::watch);
     }
@@ -165,6 +164,12 @@
         node.terminate();
     }
 
+    /** As though a voter whose log is empty had asked for a vote in this term: it is taken over, and nobody voted for. */
+    private void moveTo(int term, String from) {
+        node.handle(new DefaultVoteRequestOrBuilder().setGroupId(fleet).setSender(new Endpoint(from)).setTerm(term)
+                .setLastLogTerm(0).setLastLogIndex(0).setSticky(false).build());
+    }
+
     /** The term, and the leader as far as this member knows: null for none. */
     public record View(int term, String leader) { }
 
@@ -188,6 +193,11 @@
                 if (raft instanceof AppendEntriesRequest || raft instanceof InstallSnapshotRequest) {
                     leaderHeard = clock.now();
                 }
+                // Pre-votes do not carry a term over: a voter far ahead with a short log and one behind with a long log
+                // would refuse each other for ever (found in virtual time).
+                if (raft instanceof PreVoteRequest && view().leader() == null && raft.getTerm() > view().term() + 1) {
+                    moveTo(raft.getTerm() - 1, from);
+                }
                 node.handle(raft);
             }
         } else if (read instanceof Forward forward) {
--- a/trials/src/main/java/ferngrade/trials/VirtualFleet.java
+++ b/trials/src/main/java/ferngrade/trials/VirtualFleet.java
@@ -114,6 +114,10 @@
     // ---- Processes ----
 
     private void start(String name) {
+        if (members.containsKey(name) && members.get(name).alive()) {
+            // Its folder is locked.
+            return;
+        }
         FaultyDisk disk = disks.get(name);
         disk.powerUp();
         if (lost.contains(name) && mutant != Mutant.FORGOTTEN_VOTES) {
