--- a/fleet/src/main/java/ferngrade/fleet/Links.java
+++ b/fleet/src/main/java/ferngrade/fleet/Links.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -104,7 +105,7 @@
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel opened) {
-                            opened.pipeline().addLast(new LengthFieldPrepender(4));
+                            opened.pipeline().addLast(new LengthFieldPrepender(4), new Ended());
                         }
                     }).connect(address).addListener((ChannelFuture connected) -> {
                         if (connected.isSuccess()) {
@@ -128,6 +129,14 @@
         }
     }
 
+    /** A member that ends resets its connections: that is told by their end, which opens them again. */
+    private static final class Ended extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
     /** A connection from another member. */
     private final class In extends SimpleChannelInboundHandler<ByteBuf> {
         private String from;
