--- a/agreement/src/main/java/ferngrade/agreement/Voter.java
+++ b/agreement/src/main/java/ferngrade/agreement/Voter.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * One member's part in the replicated log: a vote, or a copy that follows. What is proposed anywhere goes to the leader;
@@ -152,9 +153,9 @@
         timers.after(patience / 4, this::watch);
     }
 
-    /** Has another voter lead, if this one does: a leader that just ends leaves all waiting for an election. */
-    public void yield() {
-        voters.stream().filter(each -> !each.equals(name)).findFirst()
+    /** Has another voter that is up lead, if this one does: a leader that just ends leaves all waiting for an election. */
+    public void yield(Predicate<String> up) {
+        voters.stream().filter(each -> !each.equals(name) && up.test(each)).findFirst()
                 .filter(other -> name.equals(view().leader()))
                 .ifPresent(other -> node.transferLeadership(new Endpoint(other)));
     }
--- a/fleet/src/main/java/ferngrade/fleet/FleetCommand.java
+++ b/fleet/src/main/java/ferngrade/fleet/FleetCommand.java
@@ -16,6 +16,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import picocli.CommandLine;
@@ -140,6 +142,20 @@
             return answer == null || answer.statusCode() != 200 ? null : Json.parse(answer.body()).asObject();
         }
 
+        /** What the fleet says of its duties, null if nobody answers, which is said. */
+        List<JsonObject> duties(FleetFile file) throws InterruptedException {
+            JsonObject status = status(file);
+            if (status == null) {
+                say(null);
+                return null;
+            }
+            return status.get("duties").asArray().values().stream().map(JsonValue::asObject).toList();
+        }
+
+        static String owner(JsonObject duty, String none) {
+            return duty.get("owner").isNull() ? none : duty.get("owner").asString();
+        }
+
         int say(HttpResponse<String> answer) {
             if (answer == null) {
                 System.err.println("ferngrade: no member answers at its admin address");
@@ -179,15 +195,13 @@
     static final class Duties extends Asking {
         @Override
         int call(FleetFile file) throws InterruptedException {
-            JsonObject status = status(file);
-            if (status == null) {
-                return say(null);
+            List<JsonObject> duties = duties(file);
+            if (duties == null) {
+                return 1;
             }
-            for (JsonValue each : status.get("duties").asArray()) {
-                JsonObject duty = each.asObject();
-                System.out.printf("%-20s %-12s epoch %d%s%n", duty.getString("shard", ""),
-                        duty.get("owner").isNull() ? "nobody" : duty.get("owner").asString(), duty.getLong("epoch", 0),
-                        duty.getBoolean("releasing", false) ? ", being handed over" : "");
+            for (JsonObject duty : duties) {
+                System.out.printf("%-20s %-12s epoch %d%s%n", duty.getString("shard", ""), owner(duty, "nobody"),
+                        duty.getLong("epoch", 0), duty.getBoolean("releasing", false) ? ", being handed over" : "");
             }
             return 0;
         }
@@ -201,28 +215,25 @@
 
         @Override
         int call(FleetFile file) throws InterruptedException {
-            JsonObject status = status(file);
-            if (status == null) {
-                return say(null);
+            List<JsonObject> duties = duties(file);
+            if (duties == null) {
+                return 1;
             }
-            for (JsonValue each : status.get("duties").asArray()) {
-                JsonObject duty = each.asObject();
-                if (duty.getString("shard", "").equals(shard)) {
-                    System.out.printf("%s: %s, epoch %d, since entry %d of %d; cause: %s%n", shard,
-                            duty.get("owner").isNull() ? "nobody owns it" : "owned by " + duty.get("owner").asString(),
-                            duty.getLong("epoch", 0), duty.getLong("since", 0), status.getLong("index", 0),
-                            duty.getString("why", ""));
-                    if (!duty.getString("wanted", "").isEmpty()) {
-                        System.out.println("operators want it at " + duty.getString("wanted", ""));
-                    }
-                    System.out.println(duty.getLong("due", 0) == 0 ? "nothing was due yet" : "last due "
-                            + java.time.Instant.ofEpochMilli(duty.getLong("due", 0)) + (duty.getBoolean("open", false)
-                                    ? ", not settled" : ": " + duty.getString("result", "")));
-                    return 0;
-                }
+            JsonObject duty = duties.stream().filter(each -> each.getString("shard", "").equals(shard)).findFirst()
+                    .orElse(null);
+            if (duty == null) {
+                System.err.println("ferngrade: no duty " + shard);
+                return 1;
             }
-            System.err.println("ferngrade: no duty " + shard);
-            return 1;
+            System.out.printf("%s: owner %s, epoch %d, since entry %d; cause: %s%n", shard, owner(duty, "nobody"),
+                    duty.getLong("epoch", 0), duty.getLong("since", 0), duty.getString("why", ""));
+            if (!duty.getString("wanted", "").isEmpty()) {
+                System.out.println("operators want it at " + duty.getString("wanted", ""));
+            }
+            long due = duty.getLong("due", 0);
+            System.out.println(due == 0 ? "nothing was due yet" : "last due " + Instant.ofEpochMilli(due)
+                    + (duty.getBoolean("open", false) ? ", not settled" : ": " + duty.getString("result", "")));
+            return 0;
         }
     }
 
--- a/fleet/src/main/java/ferngrade/fleet/MemberProcess.java
+++ b/fleet/src/main/java/ferngrade/fleet/MemberProcess.java
@@ -259,7 +259,7 @@
             timers.after(5, this::whenLeft);
         } else if (name.equals(voter.view().leader())) {
             // A leader that ends before another has taken its place leaves all waiting for an election.
-            voter.yield();
+            voter.yield(other -> table.sessions().stream().anyMatch(each -> each.member().equals(other)));
             timers.after(50, this::whenLeft);
         } else {
             log.accept("left: everything was given back");
