Let time pass only once a watch's end was seen: a discovery test hung one time in some hundred

Seen: watchThatEndsIn503IsAskedForAgainAndTheLastListStays ran into its 30 s in one run of the whole. Cause: `pass(900)` moved the settable clock on before the node had seen the end of its connection; the next try was then set for later than the clock would ever be. The test now waits for the line that tells of the end.

--- a/node/src/test/java/ferngrade/net/DiscoveryWatchTest.java
+++ b/node/src/test/java/ferngrade/net/DiscoveryWatchTest.java
@@ -20,6 +20,7 @@
 import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -59,14 +60,22 @@
                 + "\",\"host_port\":\"127.0.0.1:9\",\"phase\":\"" + phase + "\"}]}\n");
     }
 
+    private final AtomicBoolean ended = new AtomicBoolean();
+
     private void awaitReady(boolean ready) throws Exception {
         while (loop.submit(node::ready).get() != ready) {
             Thread.onSpinWait();
         }
     }
 
-    /** Lets this many ms pass, in steps: the next try is due a moment after the end of a connection has been seen. */
-    private void pass(double millis) throws Exception {
+    /**
+     * Lets this many ms pass once the node has seen the end of its watch, which is when the next try is set: time that had
+     * passed before would bring that no nearer.
+     */
+    private void passAfterEnd(double millis) throws Exception {
+        while (!ended.compareAndSet(true, false)) {
+            Thread.onSpinWait();
+        }
         double until = now + millis;
         while (loop.submit(() -> {
             now += 100;
@@ -95,7 +104,7 @@
             loop.submit(timers::run).get();
             assertNull(first.read());
         }
-        pass(900);
+        passAfterEnd(900);
         try (RawHttp again = accept("GET /api/targets?watch=1&from=41 HTTP/1.1")) {
             assertTrue(loop.submit(node::ready).get(), "the last list stays");
             again.write(HEAD + list(43, false, "s-1", "left"));
@@ -111,12 +120,12 @@
             refused.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
             assertNull(refused.read());
         }
-        pass(900);
+        passAfterEnd(900);
         try (RawHttp watch = accept(WHOLE)) {
             watch.write(HEAD + list(41, true, "s-1", "active"));
             awaitReady(true);
         }
-        pass(900);
+        passAfterEnd(900);
         try (RawHttp refused = accept("GET /api/targets?watch=1&from=41 HTTP/1.1")) {
             refused.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
             assertNull(refused.read());
@@ -132,7 +141,7 @@
             loop.submit(timers::run).get();
             assertNull(silent.read());
         }
-        pass(900);
+        passAfterEnd(900);
         try (RawHttp watch = accept(WHOLE)) {
             watch.write(HEAD + list(7, true, "s-1", "active"));
             awaitReady(true);
@@ -142,7 +151,8 @@
     private Node start(MultiThreadIoEventLoopGroup group, EventLoop loop, Timers timers, InetSocketAddress discovery) {
         SettingsMapping settings = new SettingsMapping();
         settings.put(Json.parse("{\"Classes\":[{\"Name\":\"order\"}]}").asObject());
-        Log log = new Log(() -> now, line -> { });
+        ended.set(false);
+        Log log = new Log(() -> now, line -> ended.compareAndSet(false, line.contains("watch ended")));
         Node node = new Node(new Node.Surroundings(() -> now, timers, loop, null, (peer, message) -> { }, log),
                 new Node.Room(1, 1, 0), actions -> new Choice(settings.build(), 7, now, actions));
         new DiscoveryWatch(group, discovery, new MemberReader(List.of(), List.of()), node, timers, log, () -> { })
