Tell who seems to live, prove who speaks, take lost voters in anew, ask the list once

Need: what was missing of 'one owner at a time'. A member could be spoken for by whoever reached its port; a voter without its disk stayed away for good; nobody knew who was up; each node asked for the worker list by itself.

--- /dev/null
+++ b/agreement/src/main/java/ferngrade/agreement/LogFormat.java
@@ -0,0 +1,45 @@
+package ferngrade.agreement;
+
+import ferngrade.codec.Codec;
+import io.microraft.MembershipChangeMode;
+import io.microraft.model.impl.groupop.DefaultUpdateRaftGroupMembersOpOrBuilder;
+import io.microraft.model.impl.log.DefaultLogEntryOrBuilder;
+import io.microraft.model.impl.log.DefaultRaftGroupMembersViewOrBuilder;
+import io.microraft.model.impl.log.DefaultSnapshotChunkOrBuilder;
+import io.microraft.model.impl.log.DefaultSnapshotEntryOrBuilder;
+import io.microraft.model.impl.message.DefaultAppendEntriesFailureResponseOrBuilder;
+import io.microraft.model.impl.message.DefaultAppendEntriesRequestOrBuilder;
+import io.microraft.model.impl.message.DefaultAppendEntriesSuccessResponseOrBuilder;
+import io.microraft.model.impl.message.DefaultInstallSnapshotRequestOrBuilder;
+import io.microraft.model.impl.message.DefaultInstallSnapshotResponseOrBuilder;
+import io.microraft.model.impl.message.DefaultPreVoteRequestOrBuilder;
+import io.microraft.model.impl.message.DefaultPreVoteResponseOrBuilder;
+import io.microraft.model.impl.message.DefaultTriggerLeaderElectionRequestOrBuilder;
+import io.microraft.model.impl.message.DefaultVoteRequestOrBuilder;
+import io.microraft.model.impl.message.DefaultVoteResponseOrBuilder;
+import io.microraft.model.impl.persistence.DefaultRaftEndpointPersistentStateOrBuilder;
+import io.microraft.model.impl.persistence.DefaultRaftTermPersistentStateOrBuilder;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** The classes that voters send each other and keep on disk; their order is the format, new ones go to the end. */
+public final class LogFormat {
+    private static final List<Class<?>> OWN = List.of(Endpoint.class, NewTerm.class, VoterLog.CutFrom.class, VoterLog.CutUntil.class,
+            VoterLog.DropChunks.class, Voter.Forward.class, Voter.Answered.class, MembershipChangeMode.class,
+            DefaultUpdateRaftGroupMembersOpOrBuilder.class, DefaultLogEntryOrBuilder.class,
+            DefaultRaftGroupMembersViewOrBuilder.class, DefaultSnapshotChunkOrBuilder.class,
+            DefaultSnapshotEntryOrBuilder.class, DefaultAppendEntriesFailureResponseOrBuilder.class,
+            DefaultAppendEntriesRequestOrBuilder.class, DefaultAppendEntriesSuccessResponseOrBuilder.class,
+            DefaultInstallSnapshotRequestOrBuilder.class, DefaultInstallSnapshotResponseOrBuilder.class,
+            DefaultPreVoteRequestOrBuilder.class, DefaultPreVoteResponseOrBuilder.class,
+            DefaultTriggerLeaderElectionRequestOrBuilder.class, DefaultVoteRequestOrBuilder.class,
+            DefaultVoteResponseOrBuilder.class, DefaultRaftEndpointPersistentStateOrBuilder.class,
+            DefaultRaftTermPersistentStateOrBuilder.class, Voter.To.class, Voter.Join.class);
+
+    private LogFormat() { }
+
+    /** A codec for the log's own classes and those of the commands, in this order. */
+    public static Codec codec(List<Class<?>> commands) {
+        return new Codec(Stream.concat(OWN.stream(), commands.stream()).toList());
+    }
+}
--- a/agreement/src/main/java/ferngrade/agreement/Voter.java
+++ b/agreement/src/main/java/ferngrade/agreement/Voter.java
@@ -1,10 +1,13 @@
 package ferngrade.agreement;
 
+import ferngrade.codec.Codec;
 import ferngrade.node.Clock;
 import ferngrade.node.Timers;
+import io.microraft.MembershipChangeMode;
 import io.microraft.RaftConfig;
 import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
+import io.microraft.report.RaftGroupMembers;
 import io.microraft.executor.RaftNodeExecutor;
 import io.microraft.model.impl.message.DefaultVoteRequestOrBuilder;
 import io.microraft.model.message.AppendEntriesRequest;
@@ -52,9 +55,10 @@
     private static final double SPREAD_FIRST = 2;
     private static final double SPREAD_MOST = 16;
 
+    private final Endpoint self;
     private final String name;
     private final String fleet;
-    private final Collection<String> voters;
+    private final Group group;
     private final Timers timers;
     private final Codec codec;
     private final Links links;
@@ -73,8 +77,11 @@
     /** Who takes part: all members' names, and those of them that vote. */
     public record Group(String fleet, Collection<String> members, Collection<String> voters) { }
 
-    /** What a voter keeps: where it writes, and what was there at the start, null for nothing. */
-    public record Kept(RaftStore store, RestoredRaftState restored) { }
+    /**
+     * What a voter keeps: where it writes, and what was there at the start, null for nothing. If its disk is lost
+     * {@code anew} is a text that no process before it had; null if it never had one.
+     */
+    public record Kept(RaftStore store, RestoredRaftState restored, String anew) { }
 
     /** Time and thread of a member. */
     public record Surroundings(Clock clock, Timers timers, Executor loop, long seed) { }
@@ -101,17 +108,23 @@
     /** The leader's answer to that; the result counts if it is done. */
     record Answered(long id, boolean done, Object result) { }
 
+    /** A message of the algorithm, and whom of a member's endpoints it is for. */
+    record To(String endpoint, Object message) { }
+
+    /** A member that has lost its disk asks to be taken in anew under this endpoint. */
+    record Join(String endpoint) { }
+
     private record Waiting(Outcome outcome, Timers.Timer timer) { }
 
     /** A member of a group; it takes part from {@link #start} on. */
     public Voter(String name, Group group, Machine machine, Kept kept, Surroundings around, Codec codec, Links links,
             Terms terms) {
         this.name = name;
+        this.group = group;
         this.fleet = group.fleet();
         this.timers = around.timers();
         this.clock = around.clock();
         this.terms = terms;
-        this.voters = group.voters();
         this.codec = codec;
         this.links = links;
         double scale = terms.heartbeat() / 1000;
@@ -123,9 +136,11 @@
                 .setExecutor(new Tasks(around, scale, new SplittableRandom(around.seed()))).setTransport(new Messages()).setStateMachine(new Applied(machine))
                 .setStore(kept.store()).setRandom(new Random(around.seed())).setClock(new Pace(around.clock(), scale));
         if (kept.restored() != null) {
+            this.self = (Endpoint) kept.restored().getLocalEndpointPersistentState().getLocalEndpoint();
             builder.setRestoredState(kept.restored());
         } else {
-            builder.setLocalEndpoint(new Endpoint(name)).setInitialGroupMembers(endpoints(group.members()),
+            this.self = kept.anew() == null ? new Endpoint(name) : Endpoint.anew(name, kept.anew());
+            builder.setLocalEndpoint(self).setInitialGroupMembers(endpoints(group.members()),
                     endpoints(group.voters()));
         }
         this.node = builder.build();
@@ -140,6 +155,49 @@
         leaderHeard = clock.now();
         node.start();
         watch();
+        if (!self.name().equals(name)) {
+            askIn();
+        }
+    }
+
+    /** Asks all others to be taken in, for as long as the log does not have this endpoint with all that it should be. */
+    private void askIn() {
+        if (!takenIn(self)) {
+            byte[] join = codec.write(new Join(self.name()));
+            group.members().stream().filter(each -> !each.equals(name)).forEach(each -> links.send(each, join));
+            timers.after(STUCK * terms.heartbeat(), this::askIn);
+        }
+    }
+
+    /** Whether the log knows this endpoint, as a voter if its member is to be one. */
+    private boolean takenIn(Endpoint endpoint) {
+        RaftGroupMembers members = node.getCommittedMembers();
+        return (group.voters().contains(endpoint.member()) ? members.getVotingMembers() : members.getMembers())
+                .contains(endpoint);
+    }
+
+    /** Whether this endpoint takes part, and votes if its member is to. */
+    public boolean takenIn() {
+        return takenIn(self);
+    }
+
+    /**
+     * Takes a member in anew, a step with each asking: what it was to the log before is removed first, for it has
+     * forgotten what it voted; then it learns, and then it votes. Each step is one change that a majority has to agree on.
+     */
+    private void takeIn(Endpoint endpoint) {
+        RaftGroupMembers members = node.getCommittedMembers();
+        RaftGroupMembers effective = node.getEffectiveMembers();
+        if (!leads() || takenIn(endpoint) || members.getLogIndex() != effective.getLogIndex()) {
+            return;
+        }
+        RaftEndpoint before = members.getMembers().stream().filter(each -> !each.equals(endpoint)
+                && ((Endpoint) each).member().equals(endpoint.member())).findFirst().orElse(null);
+        MembershipChangeMode mode = before != null ? MembershipChangeMode.REMOVE_MEMBER
+                : members.getMembers().contains(endpoint) ? MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER
+                : MembershipChangeMode.ADD_LEARNER;
+        // What comes of it shows in the members, and is asked for again if need be.
+        node.changeMembership(before != null ? before : endpoint, mode, members.getLogIndex());
     }
 
     /**
@@ -151,20 +209,20 @@
     private void watch() {
         double patience = STUCK * SILENT_BEATS * terms.heartbeat();
         View view = view();
-        if (voters.contains(name) && !name.equals(view.leader())
+        if (node.getEffectiveMembers().getVotingMembers().contains(self) && !leads()
                 && clock.now() - Math.max(leaderHeard, campaigned) > patience) {
             leaderHeard = clock.now();
-            String other = voters.stream().filter(each -> !each.equals(name)).findFirst().orElse(name);
-            moveTo(view.term() + 1, other);
+            moveTo(view.term() + 1, node.getEffectiveMembers().getVotingMembers().stream()
+                    .filter(each -> !each.equals(self)).findFirst().orElse(self));
         }
         timers.after(patience / 4, this::watch);
     }
 
     /** Has another voter that is up lead, if this one does: a leader that just ends leaves all waiting for an election. */
     public void yield(Predicate<String> up) {
-        voters.stream().filter(each -> !each.equals(name) && up.test(each)).findFirst()
-                .filter(other -> name.equals(view().leader()))
-                .ifPresent(other -> node.transferLeadership(new Endpoint(other)));
+        node.getCommittedMembers().getVotingMembers().stream()
+                .filter(each -> !each.equals(self) && up.test(((Endpoint) each).member())).findFirst()
+                .filter(other -> leads()).ifPresent(node::transferLeadership);
     }
 
     /** Takes no part any more. */
@@ -173,8 +231,8 @@
     }
 
     /** As though a voter whose log is empty had asked for a vote in this term: it is taken over, and nobody voted for. */
-    private void moveTo(int term, String from) {
-        node.handle(new DefaultVoteRequestOrBuilder().setGroupId(fleet).setSender(new Endpoint(from)).setTerm(term)
+    private void moveTo(int term, RaftEndpoint from) {
+        node.handle(new DefaultVoteRequestOrBuilder().setGroupId(fleet).setSender(from).setTerm(term)
                 .setLastLogTerm(0).setLastLogIndex(0).setSticky(false).build());
     }
 
@@ -185,7 +243,11 @@
     public View view() {
         RaftTerm term = node.getTerm();
         RaftEndpoint leader = term.getLeaderEndpoint();
-        return new View(term.getTerm(), leader == null ? null : (String) leader.getId());
+        return new View(term.getTerm(), leader == null ? null : ((Endpoint) leader).member());
+    }
+
+    private boolean leads() {
+        return self.equals(node.getTerm().getLeaderEndpoint());
     }
 
     /** Takes a message in; one that cannot be read, or is another fleet's, is dropped. */
@@ -196,8 +258,9 @@
         } catch (IOException malformed) {
             return;
         }
-        if (read instanceof RaftMessage raft) {
-            if (fleet.equals(raft.getGroupId())) {
+        if (read instanceof To to) {
+            if (self.name().equals(to.endpoint()) && to.message() instanceof RaftMessage raft
+                    && fleet.equals(raft.getGroupId())) {
                 if (raft instanceof AppendEntriesRequest || raft instanceof InstallSnapshotRequest) {
                     leaderHeard = clock.now();
                     spread = SPREAD_FIRST;
@@ -205,10 +268,15 @@
                 // Pre-votes do not carry a term over: a voter far ahead with a short log and one behind with a long log
                 // would refuse each other for ever (found in virtual time).
                 if (raft instanceof PreVoteRequest && view().leader() == null && raft.getTerm() > view().term() + 1) {
-                    moveTo(raft.getTerm() - 1, from);
+                    moveTo(raft.getTerm() - 1, raft.getSender());
                 }
                 node.handle(raft);
             }
+        } else if (read instanceof Join join) {
+            Endpoint endpoint = new Endpoint(String.valueOf(join.endpoint()));
+            if (endpoint.member().equals(from) && !endpoint.name().equals(from)) {
+                takeIn(endpoint);
+            }
         } else if (read instanceof Forward forward) {
             replicate(forward.command(), new Outcome() {
                 @Override
@@ -240,7 +308,7 @@
      */
     public void propose(Object command, double patience, Outcome outcome) {
         String leader = view().leader();
-        if (name.equals(leader)) {
+        if (leads()) {
             Once once = new Once(outcome);
             once.timer = timers.after(patience, () -> once.unknown("no majority has answered in time"));
             replicate(command, once);
@@ -342,7 +410,7 @@
             if (message instanceof PreVoteRequest || message instanceof VoteRequest) {
                 campaigned = clock.now();
             }
-            links.send((String) target.getId(), codec.write(message));
+            links.send(((Endpoint) target).member(), codec.write(new To(((Endpoint) target).name(), message)));
         }
 
         @Override
--- a/agreement/src/main/java/ferngrade/agreement/VoterLog.java
+++ b/agreement/src/main/java/ferngrade/agreement/VoterLog.java
@@ -1,5 +1,6 @@
 package ferngrade.agreement;
 
+import ferngrade.codec.Codec;
 import ferngrade.durable.Batch;
 import ferngrade.durable.DamagedException;
 import ferngrade.durable.Disk;
--- a/codec/src/main/java/ferngrade/codec/Codec.java
+++ b/codec/src/main/java/ferngrade/codec/Codec.java
@@ -1,4 +1,4 @@
-package ferngrade.agreement;
+package ferngrade.codec;
 
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.KryoException;
@@ -6,24 +6,6 @@
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
 import com.esotericsoftware.kryo.serializers.CollectionSerializer;
-import io.microraft.MembershipChangeMode;
-import io.microraft.model.impl.groupop.DefaultUpdateRaftGroupMembersOpOrBuilder;
-import io.microraft.model.impl.log.DefaultLogEntryOrBuilder;
-import io.microraft.model.impl.log.DefaultRaftGroupMembersViewOrBuilder;
-import io.microraft.model.impl.log.DefaultSnapshotChunkOrBuilder;
-import io.microraft.model.impl.log.DefaultSnapshotEntryOrBuilder;
-import io.microraft.model.impl.message.DefaultAppendEntriesFailureResponseOrBuilder;
-import io.microraft.model.impl.message.DefaultAppendEntriesRequestOrBuilder;
-import io.microraft.model.impl.message.DefaultAppendEntriesSuccessResponseOrBuilder;
-import io.microraft.model.impl.message.DefaultInstallSnapshotRequestOrBuilder;
-import io.microraft.model.impl.message.DefaultInstallSnapshotResponseOrBuilder;
-import io.microraft.model.impl.message.DefaultPreVoteRequestOrBuilder;
-import io.microraft.model.impl.message.DefaultPreVoteResponseOrBuilder;
-import io.microraft.model.impl.message.DefaultTriggerLeaderElectionRequestOrBuilder;
-import io.microraft.model.impl.message.DefaultVoteRequestOrBuilder;
-import io.microraft.model.impl.message.DefaultVoteResponseOrBuilder;
-import io.microraft.model.impl.persistence.DefaultRaftEndpointPersistentStateOrBuilder;
-import io.microraft.model.impl.persistence.DefaultRaftTermPersistentStateOrBuilder;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -31,37 +13,27 @@
 import java.util.List;
 
 /**
- * Bytes of what members tell each other and what a voter's disk keeps. Only classes named here and those of the commands
- * can be read: bytes of strangers make no others. Belongs to one thread.
+ * Bytes of values of a few classes, which members send each other or keep on disk. Only the classes that are named can be
+ * read: bytes of strangers make no others. Belongs to one thread.
  *
  * <p>The order of the classes is the format: new ones go to the end.
  */
 public final class Codec {
     private static final int MOST = 16 << 20;
-    private static final List<Class<?>> OWN = List.of(String.class, ArrayList.class, LinkedHashSet.class, Endpoint.class, NewTerm.class, VoterLog.CutFrom.class, VoterLog.CutUntil.class,
-            VoterLog.DropChunks.class, Voter.Forward.class, Voter.Answered.class, MembershipChangeMode.class,
-            DefaultUpdateRaftGroupMembersOpOrBuilder.class, DefaultLogEntryOrBuilder.class,
-            DefaultRaftGroupMembersViewOrBuilder.class, DefaultSnapshotChunkOrBuilder.class,
-            DefaultSnapshotEntryOrBuilder.class, DefaultAppendEntriesFailureResponseOrBuilder.class,
-            DefaultAppendEntriesRequestOrBuilder.class, DefaultAppendEntriesSuccessResponseOrBuilder.class,
-            DefaultInstallSnapshotRequestOrBuilder.class, DefaultInstallSnapshotResponseOrBuilder.class,
-            DefaultPreVoteRequestOrBuilder.class, DefaultPreVoteResponseOrBuilder.class,
-            DefaultTriggerLeaderElectionRequestOrBuilder.class, DefaultVoteRequestOrBuilder.class,
-            DefaultVoteResponseOrBuilder.class, DefaultRaftEndpointPersistentStateOrBuilder.class,
-            DefaultRaftTermPersistentStateOrBuilder.class);
+    private static final List<Class<?>> PLAIN = List.of(String.class, ArrayList.class, LinkedHashSet.class);
 
     private final Kryo kryo = new ListsAlike();
     private final Output output = new Output(4096, MOST);
 
-    /** A codec for the log's own classes and those of the commands, in this order. */
-    public Codec(List<Class<?>> commands) {
+    /** A codec for plain lists and sets, texts, and values of these classes. */
+    public Codec(List<Class<?>> classes) {
         kryo.setRegistrationRequired(true);
         kryo.addDefaultSerializer(Collection.class, new Lists());
-        OWN.forEach(kryo::register);
-        commands.forEach(kryo::register);
+        PLAIN.forEach(kryo::register);
+        classes.forEach(kryo::register);
     }
 
-    /** The bytes of a value; one that holds a class not named here is a fault of the program. */
+    /** The bytes of a value; one that holds any other class is a fault of the program. */
     public byte[] write(Object value) {
         output.reset();
         kryo.writeClassAndObject(output, value);
@@ -74,7 +46,7 @@
             return kryo.readClassAndObject(new Bounded(bytes, from, length));
         } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException | NegativeArraySizeException
                 | ClassCastException | NullPointerException malformed) {
-            throw new IOException("not a value of this log: " + malformed.getMessage(), malformed);
+            throw new IOException("not a value of these classes: " + malformed.getMessage(), malformed);
         }
     }
 
--- /dev/null
+++ b/codec/src/test/java/ferngrade/codec/CodecTest.java
@@ -0,0 +1,36 @@
+package ferngrade.codec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Bytes that are values, and bytes that are none. */
+class CodecTest {
+    /** A value. */
+    private record Named(String name, long number, List<String> more) { }
+
+    private final Codec codec = new Codec(List.of(Named.class));
+
+    @Test
+    void aValueComesBackAsItWas() throws IOException {
+        Named value = new Named("a", -3, List.of("x", ""));
+        byte[] bytes = codec.write(value);
+        assertEquals(value, codec.read(bytes, 0, bytes.length));
+        assertThrows(IOException.class, () -> codec.read(bytes, 0, bytes.length - 1));
+        assertThrows(IllegalArgumentException.class, () -> codec.write(new StringBuilder()));
+    }
+
+    @Property
+    void bytesOfStrangersEndInAnExceptionOrAValue(@ForAll byte[] bytes) {
+        try {
+            codec.read(bytes, 0, bytes.length);
+        } catch (IOException refused) {
+            assertEquals(IOException.class, refused.getClass());
+        }
+    }
+}
--- a/fleet/src/main/java/ferngrade/fleet/Calls.java
+++ b/fleet/src/main/java/ferngrade/fleet/Calls.java
@@ -14,10 +14,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
-/** Operators' calls to a member: {@code GET /-/fleet}, {@code POST /-/fleet/transfer} and {@code /-/fleet/leave}. */
+/** Operators' calls to a member: {@code GET /-/fleet} and {@code /-/members}, {@code POST /-/fleet/transfer} and {@code /-/fleet/leave}. */
 final class Calls implements AutoCloseable {
     private static final long PATIENCE_MS = 3_000;
     private static final double LEAVE_MS = 5_000;
+    private static final double MEASURE_MS = 10_000;
+    private static final int MEASURE_AT_ONCE = 1_000;
 
     private final ExecutorService threads = Executors.newFixedThreadPool(2);
     private final HttpServer server;
@@ -29,7 +31,7 @@
         this.member = member;
         this.server = HttpServer.create(address, 16);
         server.setExecutor(threads);
-        server.createContext("/-/fleet", this::handle);
+        server.createContext("/-/", this::handle);
         server.start();
     }
 
@@ -53,6 +55,8 @@
         String call = exchange.getRequestMethod() + " " + exchange.getRequestURI().getPath();
         return switch (call) {
             case "GET /-/fleet" -> new Reply(200, member.status().get(PATIENCE_MS, TimeUnit.MILLISECONDS).json().toString());
+            case "GET /-/members" -> new Reply(200, member.members().get(PATIENCE_MS, TimeUnit.MILLISECONDS).json()
+                    .toString());
             case "POST /-/fleet/leave" -> {
                 member.leave(LEAVE_MS);
                 yield new Reply(202, "leaving");
@@ -69,6 +73,12 @@
                 yield done instanceof Boolean known ? known ? new Reply(200, "asked for")
                         : new Reply(404, "no such shard or member") : new Reply(503, "unknown: " + done);
             }
+            case "POST /-/fleet/measure" -> {
+                double millis = Math.min(MEASURE_MS, Double.parseDouble(query(exchange.getRequestURI().getRawQuery())
+                        .getOrDefault("ms", "3000")));
+                yield new Reply(200, String.format("%.0f", member.measure(millis, MEASURE_AT_ONCE).get(
+                        (long) millis + PATIENCE_MS, TimeUnit.MILLISECONDS)));
+            }
             default -> new Reply(404, "no such call");
         };
     }
--- a/fleet/src/main/java/ferngrade/fleet/FleetCommand.java
+++ b/fleet/src/main/java/ferngrade/fleet/FleetCommand.java
@@ -5,6 +5,7 @@
 import com.eclipsesource.json.JsonValue;
 import ferngrade.cli.Cli;
 import ferngrade.cli.SubCommand;
+import ferngrade.fleet.MemberProcess.Empty;
 import ferngrade.node.Clock;
 import ferngrade.toml.FileException;
 import java.io.IOException;
@@ -20,6 +21,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
+import java.util.function.UnaryOperator;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -29,7 +31,7 @@
 @Command(name = "fleet", description = "Runs a member of the fleet, and asks who owns which duty.",
         mixinStandardHelpOptions = true, subcommands = {FleetCommand.Check.class, FleetCommand.Run.class,
             FleetCommand.Status.class, FleetCommand.Duties.class, FleetCommand.Explain.class,
-            FleetCommand.Transfer.class, FleetCommand.Leave.class, CommandLine.HelpCommand.class})
+            FleetCommand.Transfer.class, FleetCommand.Leave.class, FleetCommand.Measure.class, CommandLine.HelpCommand.class})
 public final class FleetCommand implements SubCommand, Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -81,6 +83,10 @@
         @Option(names = "--found", description = "Begins a new fleet where the folder holds none; never after a loss.")
         private boolean found;
 
+        @Option(names = "--rejoin", description = "Takes part anew after the loss of its disk: the others remove what it was"
+                + " before, and take it in as one that has promised nothing.")
+        private boolean rejoin;
+
         @Override
         @SuppressWarnings("try")
         int call(FleetFile file) throws InterruptedException {
@@ -88,10 +94,15 @@
                 System.err.println("ferngrade: the file has no member " + name);
                 return Cli.BAD_CONFIG;
             }
+            if (found && rejoin) {
+                System.err.println("ferngrade: --found begins a new fleet, --rejoin comes back to one: not both");
+                return Cli.BAD_CONFIG;
+            }
+            Empty empty = found ? Empty.FOUND : rejoin ? Empty.REJOIN : Empty.STOP;
             long origin = System.nanoTime();
             Clock clock = () -> (System.nanoTime() - origin) / 1e6;
-            try (MemberProcess member = new MemberProcess(file, name, new MemberProcess.Start(data, found, clock, System::currentTimeMillis,
-                    line -> System.out.printf("%.3f %s %s%n", clock.now() / 1000, name, line)));
+            try (MemberProcess member = new MemberProcess(file, name, new MemberProcess.Start(data, empty,
+                    UnaryOperator.identity(), clock, System::currentTimeMillis, line -> System.out.printf("%.3f %s %s%n", clock.now() / 1000, name, line)));
                     Calls calls = file.member(name).admin() == null ? null
                             : new Calls(file.member(name).admin(), member)) {
                 member.start();
@@ -121,13 +132,19 @@
 
         /** The answer of the first of these members that gives one, null if none does. */
         HttpResponse<String> ask(FleetFile file, String only, String method, String call) throws InterruptedException {
+            return ask(file, only, method, call, PATIENCE);
+        }
+
+        /** The same, with so much time for each member's answer. */
+        HttpResponse<String> ask(FleetFile file, String only, String method, String call, Duration patience)
+                throws InterruptedException {
             for (FleetFile.Member each : file.members()) {
                 if (each.admin() == null || only != null && !each.name().equals(only)) {
                     continue;
                 }
                 URI uri = URI.create("http://" + each.admin().getHostString() + ":" + each.admin().getPort() + call);
                 try {
-                    return client.send(HttpRequest.newBuilder(uri).timeout(PATIENCE)
+                    return client.send(HttpRequest.newBuilder(uri).timeout(patience)
                             .method(method, HttpRequest.BodyPublishers.noBody()).build(),
                             HttpResponse.BodyHandlers.ofString());
                 } catch (IOException silent) {
@@ -264,4 +281,23 @@
             return say(ask(file, member, "POST", "/-/fleet/leave"));
         }
     }
+
+    /** How fast the log is. */
+    @Command(name = "measure", description = "Says how many entries a second the log takes, by putting in ones that change"
+            + " nothing. Not beside work that counts.")
+    static final class Measure extends Asking {
+        @Option(names = "--ms", paramLabel = "N", description = "For so long; 3000 if left out, 10000 at the most.")
+        private double millis = 3_000;
+
+        @Override
+        int call(FleetFile file) throws InterruptedException {
+            JsonObject status = status(file);
+            if (status == null || status.get("leader").isNull()) {
+                System.err.println("ferngrade: no leader is known");
+                return 1;
+            }
+            return say(ask(file, status.getString("leader", ""), "POST", "/-/fleet/measure?ms=" + millis,
+                    Duration.ofMillis((long) millis).plusSeconds(4)));
+        }
+    }
 }
--- a/fleet/src/main/java/ferngrade/fleet/FleetFile.java
+++ b/fleet/src/main/java/ferngrade/fleet/FleetFile.java
@@ -4,14 +4,19 @@
 import ferngrade.duty.Holder;
 import ferngrade.duty.Recurring;
 import ferngrade.duty.Shard;
+import ferngrade.duty.TierList;
 import ferngrade.toml.FileException;
 import ferngrade.toml.Section;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * The file of a fleet, the same for each of its members but for addresses.
@@ -19,16 +24,24 @@
  * @param name the fleet's name: members of another do not hear this one's
  * @param terms how long a hold lasts, and how wrong a member's clock may run
  * @param heartbeat ms between two words of a leader to those who follow it
+ * @param keys what members prove themselves by, the first signs and the second counts too; none: nothing is proved
  * @param members all members
  * @param targets where recurring jobs are put in: the client addresses of nodes, tried in this order
+ * @param discovery where the worker list is, which the fleet asks for once on behalf of all; null: it does not
  * @param jobs the recurring jobs
  */
-public record FleetFile(String name, Holder.Terms terms, double heartbeat, List<Member> members,
-        List<InetSocketAddress> targets, List<Job> jobs) {
+public record FleetFile(String name, Holder.Terms terms, double heartbeat, List<byte[]> keys, List<Member> members,
+        List<InetSocketAddress> targets, InetSocketAddress discovery, List<Job> jobs) {
+    private static final int LEAST_KEY = 16;
+    private static final int MOST_KEYS = 2;
     private static final double LEAST_PERIOD = 100;
 
-    /** One member: where the others reach it, where operators do, and whether it votes. */
-    public record Member(String name, InetSocketAddress address, InetSocketAddress admin, boolean voter) { }
+    /**
+     * One member: where the others reach it, where operators do, where it takes datagrams on who seems to live (null: it
+     * takes no part in that), where its node asks for the worker list (null: nowhere), and whether it votes.
+     */
+    public record Member(String name, InetSocketAddress address, InetSocketAddress admin, InetSocketAddress gossip,
+            InetSocketAddress list, boolean voter) { }
 
     /** Whether a job may be put in twice. */
     public enum Effect {
@@ -68,6 +81,7 @@
         if (heartbeat <= 0 || hold < 4 * heartbeat) {
             throw top.bad("hold", "must be at least four heartbeats");
         }
+        List<byte[]> keys = top.has("key-file") ? keys(top, path.resolveSibling(top.text("key-file", ""))) : List.of();
         List<Member> members = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (Section each : top.sections("member")) {
@@ -80,6 +94,11 @@
         for (String target : top.texts("targets", List.of())) {
             targets.add(address(top, "targets", target));
         }
+        InetSocketAddress discovery = top.has("discovery")
+                ? address(top, "discovery", top.text("discovery", "")) : null;
+        if (discovery == null && members.stream().anyMatch(each -> each.list() != null)) {
+            throw top.bad("discovery", "is missing: members pass the worker list on from there");
+        }
         List<Job> jobs = new ArrayList<>();
         Set<String> jobNames = new HashSet<>();
         for (Section each : top.sections("recurring")) {
@@ -89,8 +108,26 @@
             throw top.bad("targets", "is missing: recurring jobs are put in there");
         }
         top.end();
-        return new FleetFile(name, new Holder.Terms(hold, drift), heartbeat, List.copyOf(members), List.copyOf(targets),
-                List.copyOf(jobs));
+        return new FleetFile(name, new Holder.Terms(hold, drift), heartbeat, keys, List.copyOf(members), List.copyOf(targets),
+                discovery, List.copyOf(jobs));
+    }
+
+    /** The keys of a file, a line each; what they are is not said in any message. */
+    private static List<byte[]> keys(Section top, Path path) throws FileException {
+        List<byte[]> keys = new ArrayList<>();
+        try {
+            for (String line : Files.readAllLines(path)) {
+                if (!line.isBlank()) {
+                    keys.add(line.strip().getBytes(StandardCharsets.UTF_8));
+                }
+            }
+        } catch (IOException unreadable) {
+            throw top.bad("key-file", "cannot be read: " + unreadable);
+        }
+        if (keys.isEmpty() || keys.size() > MOST_KEYS || keys.stream().anyMatch(key -> key.length < LEAST_KEY)) {
+            throw top.bad("key-file", "must hold one key or two, a line each, of " + LEAST_KEY + " characters or more");
+        }
+        return List.copyOf(keys);
     }
 
     private static Member member(Section section, Set<String> names) throws FileException {
@@ -100,12 +137,14 @@
         }
         InetSocketAddress address = address(section, "address", section.text("address", ""));
         InetSocketAddress admin = section.has("admin") ? address(section, "admin", section.text("admin", "")) : null;
+        InetSocketAddress gossip = section.has("gossip") ? address(section, "gossip", section.text("gossip", "")) : null;
+        InetSocketAddress list = section.has("list") ? address(section, "list", section.text("list", "")) : null;
         String part = section.text("part", "voter");
         if (!part.equals("voter") && !part.equals("learner")) {
             throw section.bad("part", "is neither \"voter\" nor \"learner\": \"" + part + "\"");
         }
         section.end();
-        return new Member(name, address, admin, part.equals("voter"));
+        return new Member(name, address, admin, gossip, list, part.equals("voter"));
     }
 
     private static Job job(Section section, Set<String> names) throws FileException {
@@ -131,6 +170,9 @@
         if (!name.matches("[A-Za-z0-9._-]{1,64}")) {
             throw section.bad("name", "must be 1 to 64 letters, digits, dots, dashes or underscores");
         }
+        if (name.equals(TierList.SHARD.duty()) && section.has("every")) {
+            throw section.bad("name", "is the worker list's own: list");
+        }
         if (!names.add(name)) {
             throw section.bad("name", "is there twice: " + name);
         }
@@ -152,6 +194,7 @@
 
     /** The shards that the fleet's duties have. */
     public List<Shard> shards() {
-        return jobs.stream().map(each -> each.when().shard()).toList();
+        return Stream.concat(jobs.stream().map(each -> each.when().shard()),
+                discovery == null ? Stream.empty() : Stream.of(TierList.SHARD)).toList();
     }
 }
--- a/fleet/src/main/java/ferngrade/fleet/MemberProcess.java
+++ b/fleet/src/main/java/ferngrade/fleet/MemberProcess.java
@@ -1,15 +1,20 @@
 package ferngrade.fleet;
 
-import ferngrade.agreement.Codec;
+import ferngrade.agreement.LogFormat;
 import ferngrade.agreement.Voter;
 import ferngrade.agreement.VoterLog;
+import ferngrade.codec.Codec;
+import ferngrade.durable.Disk;
 import ferngrade.durable.FolderDisk;
 import ferngrade.duty.Command;
 import ferngrade.duty.DutyTable;
 import ferngrade.duty.Holder;
 import ferngrade.duty.Performer;
 import ferngrade.duty.Shard;
+import ferngrade.duty.TierList;
 import ferngrade.fleet.FleetFile.Job;
+import ferngrade.membership.Peer;
+import ferngrade.membership.Seal;
 import ferngrade.node.Clock;
 import ferngrade.node.Timers;
 import io.microraft.persistence.RestoredRaftState;
@@ -17,6 +22,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,16 +33,20 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 
 /**
  * One process of a member: its voter, the table that it makes of the log, what it holds, and the recurring jobs that it
  * puts in. One thread owns all of that, and waits for its own disk; connections and operators' calls have theirs.
  */
-final class MemberProcess implements AutoCloseable {
+public final class MemberProcess implements AutoCloseable {
     private static final double PATIENCE = 1_000;
     private static final double ACT = 25;
     private static final int SNAPSHOT_EVERY = 10_000;
     private static final long FILE_BYTES = 16 << 20;
+    private static final byte VOTER = 0;
+    private static final byte LIST = 1;
 
     private final FleetFile file;
     private final String name;
@@ -53,16 +63,33 @@
     private final Links links;
     private final Voter voter;
     private final Holder holder;
+    private final Membership membership;
+    private final ListDuty list;
     private final JobSender jobs;
     private final CompletableFuture<Integer> ended = new CompletableFuture<>();
     private boolean holds;
     private Voter.View view;
+    private boolean takenIn = true;
 
-    /** What a process is started with: its folder, whether it may begin a new fleet, its clocks and its log. */
-    record Start(Path data, boolean found, Clock clock, LongSupplier wall, Consumer<String> log) { }
+    /** What a voter does whose folder holds nothing. */
+    public enum Empty {
+        /** It must not take part: it may have promised what it no longer knows. */
+        STOP,
+        /** It begins a new fleet with the others. */
+        FOUND,
+        /** It asks to be taken in anew, as one that has promised nothing. */
+        REJOIN
+    }
+
+    /**
+     * What a process is started with: its folder, what it does if that is empty, what its disk is made into, its clocks,
+     * the second of them the wall's, and its log.
+     */
+    public record Start(Path data, Empty empty, UnaryOperator<Disk> disk, Clock clock, LongSupplier wall,
+            Consumer<String> log) { }
 
     /** Opens the folder and makes the member; an {@link IOException} says why it must not take part. */
-    MemberProcess(FleetFile file, String name, Start start) throws IOException {
+    public MemberProcess(FleetFile file, String name, Start start) throws IOException, InterruptedException {
         this.file = file;
         this.name = name;
         this.clock = start.clock();
@@ -71,32 +98,52 @@
         this.timers = new Timers(clock, (millis, run) -> loop.schedule(run, (long) Math.ceil(millis * 1000),
                 TimeUnit.MICROSECONDS));
         this.disk = FolderDisk.hold(start.data());
-        Codec codec = new Codec(Command.CLASSES);
-        VoterLog kept = VoterLog.open(disk, codec, FILE_BYTES, this::diskFailed);
+        Codec codec = LogFormat.codec(Command.CLASSES);
+        VoterLog kept = VoterLog.open(start.disk().apply(disk), codec, FILE_BYTES, this::diskFailed);
         RestoredRaftState restored = kept.restored();
-        if (restored == null && file.member(name).voter() && !start.found()) {
+        if (restored == null && file.member(name).voter() && start.empty() == Empty.STOP) {
             disk.close();
             throw new IOException(start.data() + " holds nothing of this fleet: a voter without its disk must not vote."
-                    + " A new fleet is begun with --found on each voter");
+                    + " A new fleet is begun with --found on each voter; one that has lost its disk comes back with"
+                    + " --rejoin");
         }
         Map<String, InetSocketAddress> others = new HashMap<>();
         file.members().stream().filter(each -> !each.name().equals(name))
                 .forEach(each -> others.put(each.name(), each.address()));
         long seed = new SecureRandom().nextLong();
-        this.links = new Links(file.name(), name, others,
-                (from, message) -> loop.execute(() -> guarded(() -> voter().handle(from, message))));
+        this.links = new Links(new Seal(file.name() + " links", file.keys(), seed | 1), name, others,
+                (from, message) -> loop.execute(() -> guarded(() -> received(from, message))));
         this.voter = new Voter(name, new Voter.Group(file.name(), names(false), names(true)), table,
-                new Voter.Kept(kept, restored), new Voter.Surroundings(clock, timers,
+                new Voter.Kept(kept, restored, start.empty() == Empty.REJOIN ? Long.toHexString(seed) : null), new Voter.Surroundings(clock, timers,
                         task -> loop.execute(() -> guarded(task)), seed), codec,
-                links::send, new Voter.Terms(file.heartbeat(), SNAPSHOT_EVERY));
+                (to, message) -> links.send(to, marked(VOTER, message)), new Voter.Terms(file.heartbeat(), SNAPSHOT_EVERY));
         this.holder = new Holder(name, Long.toHexString(seed), file.shards(), file.terms(), this::propose);
+        this.membership = file.member(name).gossip() == null ? null : new Membership(file, name,
+                new Membership.Surroundings(clock, timers, task -> loop.execute(() -> guarded(task)), log, seed));
+        this.list = file.discovery() == null ? null : new ListDuty(file, name, new ListDuty.Surroundings(clock,
+                task -> loop.execute(() -> guarded(task)), (to, message) -> links.send(to, marked(LIST, message)), log));
         this.jobs = new JobSender(file.name(), file.targets(), loop);
         file.jobs().forEach(job -> performers.put(job.when().shard(), new Performer(job.when(), holder, table,
                 actions(job))));
     }
 
-    private Voter voter() {
-        return voter;
+    /** A message with a first byte that says whom it is for. */
+    private static byte[] marked(byte whom, byte[] message) {
+        byte[] all = new byte[message.length + 1];
+        all[0] = whom;
+        System.arraycopy(message, 0, all, 1, message.length);
+        return all;
+    }
+
+    private void received(String from, byte[] marked) {
+        if (marked.length > 1) {
+            byte[] message = Arrays.copyOfRange(marked, 1, marked.length);
+            if (marked[0] == VOTER) {
+                voter.handle(from, message);
+            } else if (marked[0] == LIST && list != null) {
+                list.received(from, message);
+            }
+        }
     }
 
     private List<String> names(boolean voters) {
@@ -104,11 +151,20 @@
     }
 
     /** Takes part from here on. */
-    void start() throws InterruptedException {
+    public void start() throws InterruptedException {
         InetSocketAddress address = links.start(file.member(name).address());
-        log.accept("listening address=" + address.getHostString() + ":" + address.getPort());
+        log.accept("listening address=" + address.getHostString() + ":" + address.getPort()
+                + (membership == null ? "" : " gossip=" + membership.address().getHostString() + ":"
+                + membership.address().getPort())
+                + (list == null || list.address() == null ? "" : " list=" + list.address()));
+        if (file.keys().isEmpty()) {
+            log.accept("no key-file: members do not prove who they are");
+        }
         loop.execute(() -> {
             voter.start();
+            if (membership != null) {
+                membership.start();
+            }
             tick();
             act();
             log.accept("started");
@@ -116,7 +172,7 @@
     }
 
     /** The exit code with which the process is to end, once it is. */
-    CompletableFuture<Integer> ended() {
+    public CompletableFuture<Integer> ended() {
         return ended;
     }
 
@@ -157,6 +213,10 @@
             view = seen;
             log.accept("follows leader=" + view.leader() + " term=" + view.term());
         }
+        if (takenIn != voter.takenIn()) {
+            takenIn = !takenIn;
+            log.accept(takenIn ? "taken in" : "not taken in yet: it asks the others");
+        }
         boolean now = holder.holds(clock.now());
         if (now != holds) {
             holds = now;
@@ -171,6 +231,11 @@
             tellHeld(shard, holder.epoch(shard, clock.now(), table));
             performers.get(shard).look(clock.now(), wall.getAsLong());
         }
+        if (list != null) {
+            OptionalLong epoch = holder.epoch(TierList.SHARD, clock.now(), table);
+            tellHeld(TierList.SHARD, epoch);
+            list.look(epoch);
+        }
         timers.after(ACT, () -> guarded(this::act));
     }
 
@@ -231,6 +296,14 @@
         }, loop);
     }
 
+    /** Who seems to live, as this member sees it; empty if it takes no part in that. */
+    CompletableFuture<MembersStatus> members() {
+        return CompletableFuture.supplyAsync(() -> membership == null ? new MembersStatus(name, List.of(), 0)
+                : new MembersStatus(name, Stream.concat(Stream.of(new Peer(membership.self(), clock.now())),
+                        membership.peers().stream()).map(each -> new MembersStatus.Line(each.news(),
+                        clock.now() - each.since())).toList(), membership.refused()), loop);
+    }
+
     /** Asks for a shard to go to a member; true once the log has it, false if it knows no such shard or member. */
     CompletableFuture<Object> transfer(String duty, int number, String to) {
         CompletableFuture<Object> answer = new CompletableFuture<>();
@@ -249,8 +322,45 @@
         return answer;
     }
 
+    /**
+     * How many entries a second the log takes from this member, with so many on their way at a time: entries that change
+     * nothing, for so many ms.
+     */
+    CompletableFuture<Double> measure(double millis, int atOnce) {
+        CompletableFuture<Double> answer = new CompletableFuture<>();
+        loop.execute(() -> {
+            double began = clock.now();
+            long[] counts = new long[2];
+            Runnable[] one = new Runnable[1];
+            one[0] = () -> voter.propose(new Command.Renew(0, wall.getAsLong()), PATIENCE, new Voter.Outcome() {
+                private void next() {
+                    if (clock.now() - began < millis) {
+                        one[0].run();
+                    } else if (++counts[1] == atOnce) {
+                        answer.complete(counts[0] * 1000 / (clock.now() - began));
+                    }
+                }
+
+                @Override
+                public void done(Object result) {
+                    counts[0]++;
+                    next();
+                }
+
+                @Override
+                public void unknown(String why) {
+                    next();
+                }
+            });
+            for (int i = 0; i < atOnce; i++) {
+                one[0].run();
+            }
+        });
+        return answer;
+    }
+
     /** Gives back what is held, then ends; the result of {@link #ended} says when. */
-    void leave(double patience) {
+    public void leave(double patience) {
         loop.execute(() -> {
             log.accept("leaving");
             holder.drain();
@@ -266,9 +376,13 @@
             timers.after(5, this::whenLeft);
         } else if (name.equals(voter.view().leader())) {
             // A leader that ends before another has taken its place leaves all waiting for an election.
-            voter.yield(other -> table.sessions().stream().anyMatch(each -> each.member().equals(other)));
+            voter.yield(other -> table.sessions().stream().anyMatch(each -> each.member().equals(other))
+                    && (membership == null || membership.alive(other)));
             timers.after(50, this::whenLeft);
         } else {
+            if (membership != null) {
+                membership.leave();
+            }
             log.accept("left: everything was given back");
             ended.complete(0);
         }
@@ -278,6 +392,12 @@
     public void close() throws IOException {
         loop.shutdownNow();
         links.close();
+        if (membership != null) {
+            membership.close();
+        }
+        if (list != null) {
+            list.close();
+        }
         disk.close();
     }
 }
--- a/fleet/src/test/java/ferngrade/fleet/FleetFileTest.java
+++ b/fleet/src/test/java/ferngrade/fleet/FleetFileTest.java
@@ -50,6 +50,20 @@
         assertEquals(3, FleetFile.read(Path.of("../deploy/fleet.toml")).members().size());
     }
 
+    @Test
+    void keysAreReadFromTheirFileAndABadFileIsSaid() throws IOException, FileException {
+        String keyed = GOOD.replace("targets", "key-file = \"fleet.key\"\ntargets");
+        for (String bad : new String[] {"", "short\n", "a key of some length\nanother of some length\na third of some length\n"}) {
+            Files.writeString(folder.resolve("fleet.key"), bad);
+            assertTrue(assertThrows(FileException.class, () -> read(keyed)).getMessage()
+                    .contains("fleet.toml:2: key-file must hold one key or two"));
+        }
+        Files.delete(folder.resolve("fleet.key"));
+        assertTrue(assertThrows(FileException.class, () -> read(keyed)).getMessage().contains("key-file cannot be read"));
+        Files.writeString(folder.resolve("fleet.key"), "a key of some length\n\nanother of some length\n");
+        assertEquals(2, read(keyed).keys().size());
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "name = \"f\" | colour = \"red\" | fleet.toml:1: colour is unknown here",
@@ -59,6 +73,8 @@
         "effect = \"keyed\" | effect = \"often\" | fleet.toml:15: recurring[0].effect is unknown",
         "address = \"127.0.0.1:7101\" | address = \"here\" | fleet.toml:5: member[0].address is no address",
         "targets = [\"127.0.0.1:8080\"] | hold = \"1500ms\" | fleet.toml: targets is missing",
+        "part = \"learner\" | list = \"127.0.0.1:1\" | fleet.toml: discovery is missing",
+        "part = \"learner\" | gossip = \"there\" | fleet.toml:9: member[1].gossip is no address",
         "tenant = \"t\" | deadline = \"1s\" | fleet.toml:10: recurring[0].tenant is missing",
         "[[member]] | [[member | fleet.toml:3: is not TOML"})
     void whatCannotBeUsedIsSaidWithFileLineAndKey(String there, String instead, String said) {
--- a/lab/src/main/java/ferngrade/lab/LabCommand.java
+++ b/lab/src/main/java/ferngrade/lab/LabCommand.java
@@ -9,7 +9,8 @@
         mixinStandardHelpOptions = true,
         subcommands = {RunCommand.class, CompareCommand.class, SearchCommand.class, ReplayCommand.class,
             GraphCommand.class, LoadCommand.class, NodeCommand.class,
-            ReportCommand.class, StoreCommand.class, TrialCommand.class, BenchCommand.class, CommandLine.HelpCommand.class})
+            ReportCommand.class, StoreCommand.class, TrialCommand.class, SwarmCommand.class,
+            BenchCommand.class, CommandLine.HelpCommand.class})
 public final class LabCommand implements SubCommand, Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- a/lab/src/main/java/ferngrade/lab/TrialCommand.java
+++ b/lab/src/main/java/ferngrade/lab/TrialCommand.java
@@ -7,9 +7,11 @@
 import ferngrade.trials.History.Event;
 import ferngrade.trials.Judges;
 import ferngrade.trials.Mutant;
+import ferngrade.trials.SmallCases;
 import ferngrade.trials.TrialFile;
 import ferngrade.trials.TrialRun;
 import ferngrade.trials.VirtualFleet;
+import ferngrade.trials.VirtualSwarm;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -54,6 +56,18 @@
     @Option(names = "--virtual", paramLabel = "SEEDS", description = "So many seeds in virtual time, from --seed on.")
     private long virtual;
 
+    @Option(names = "--swarm", paramLabel = "SEEDS", description = "So many seeds of membership in virtual time.")
+    private long swarm;
+
+    @Option(names = "--small", paramLabel = "STEPS", description = "All that can happen within so many steps to a few members.")
+    private int small;
+
+    @Option(names = "--duties", paramLabel = "N", description = "Duties in the small; 1 if left out.")
+    private int duties = 1;
+
+    @Option(names = "--calm", description = "In the small, nobody dies and nothing is lost, only late.")
+    private boolean calm;
+
     @Option(names = "--members", paramLabel = "N", description = "Members in virtual time; 3 if left out.")
     private int members = 3;
 
@@ -69,6 +83,12 @@
             if (virtual > 0) {
                 return virtual();
             }
+            if (swarm > 0) {
+                return swarm();
+            }
+            if (small > 0) {
+                return small();
+            }
             if (asked == null) {
                 System.err.println("ferngrade: a trial's name or file is missing; --list names some");
                 return Cli.BAD_CONFIG;
@@ -152,4 +172,31 @@
                 + Arrays.toString(each.getValue().stream().limit(3).toArray())));
         return broken.isEmpty() ? 0 : BROKEN;
     }
+
+    private int swarm() {
+        AtomicLong refused = new AtomicLong();
+        Map<Long, List<Breach>> broken = new TreeMap<>();
+        LongStream.range(seed, seed + swarm).parallel().forEach(each -> {
+            VirtualSwarm.Result result = VirtualSwarm.play(members, each, mutant);
+            refused.addAndGet(result.refused());
+            if (!result.breaches().isEmpty()) {
+                synchronized (broken) {
+                    broken.put(each, result.breaches());
+                }
+            }
+        });
+        System.out.printf("%d seeds of %d members, mutant %s: %d broken; %d datagrams of strangers were refused%n", swarm,
+                members, mutant.name().toLowerCase(Locale.ROOT), broken.size(), refused.get());
+        broken.entrySet().stream().limit(5).forEach(each -> System.out.println("seed " + each.getKey() + ": "
+                + each.getValue().get(0)));
+        return broken.isEmpty() ? 0 : BROKEN;
+    }
+
+    private int small() {
+        SmallCases.Result result = SmallCases.explore(members, duties, small, calm, mutant);
+        System.out.printf("%d members, %d duties, mutant %s: %d states within %d steps, %s%n", members, duties,
+                mutant.name().toLowerCase(Locale.ROOT), result.states(), result.depth(), result.broken() == null
+                        ? "none broken" : "BROKEN " + result.broken() + " by " + Arrays.toString(result.steps()));
+        return result.broken() == null ? 0 : BROKEN;
+    }
 }
--- a/trials/src/main/java/ferngrade/trials/Judges.java
+++ b/trials/src/main/java/ferngrade/trials/Judges.java
@@ -47,6 +47,23 @@
                 .map(each -> new Breach(each.at(), "kept", each.who() + " lost " + each.detail("shard"))).toList();
     }
 
+    /** From this time on, each of the first texts must be in some line of a member's log, and none of the others in any. */
+    static List<Breach> said(List<Event> events, double from, List<String> must, List<String> never) {
+        List<Event> lines = events.stream().filter(each -> each.at() > from && !each.detail("line").isEmpty()).toList();
+        List<Breach> breaches = new ArrayList<>();
+        for (String text : must) {
+            if (lines.stream().noneMatch(each -> each.detail("line").contains(text))) {
+                breaches.add(new Breach(from, "said", "nobody has said \"" + text + "\""));
+            }
+        }
+        for (Event each : lines) {
+            if (never.stream().anyMatch(each.detail("line")::contains)) {
+                breaches.add(new Breach(each.at(), "never", each.who() + " says " + each.detail("line")));
+            }
+        }
+        return breaches;
+    }
+
     /** The longest time, ms, in which nothing of a shard landed, from the first that did. */
     public static double longestGap(List<Event> events, String shard) {
         double last = Double.NaN;
--- a/trials/src/main/java/ferngrade/trials/Mutant.java
+++ b/trials/src/main/java/ferngrade/trials/Mutant.java
@@ -13,5 +13,7 @@
     /** A voter that has lost its disk comes back under its name and votes. */
     FORGOTTEN_VOTES,
     /** Clocks are taken to run alike. */
-    NO_DRIFT_BOUND
+    NO_DRIFT_BOUND,
+    /** Members do not hear what is said of them, and so deny nothing. */
+    NO_DENIAL
 }
