Wait for the shortest Retry-After once every target has refused a recurring job

Need: a fleet's recurring job went round refusing nodes three times within milliseconds and was then given up as refused, while the nodes had said when to come again.

Change: `JobSender` waits between rounds for the shortest time that a target asked for (200 ms where none did, 3 s at the most). Membership's simulation asks for one member by its name.

--- a/agreement/src/main/java/ferngrade/agreement/Voter.java
+++ b/agreement/src/main/java/ferngrade/agreement/Voter.java
@@ -100,6 +100,21 @@
 
         /** It may be in the log or not, now or later. */
         void unknown(String why);
+
+        /** One that calls one of these. */
+        static Outcome of(Consumer<Object> done, Consumer<String> unknown) {
+            return new Outcome() {
+                @Override
+                public void done(Object result) {
+                    done.accept(result);
+                }
+
+                @Override
+                public void unknown(String why) {
+                    unknown.accept(why);
+                }
+            };
+        }
     }
 
     /** A proposal on its way to the leader. */
--- a/fleet/src/main/java/ferngrade/fleet/JobSender.java
+++ b/fleet/src/main/java/ferngrade/fleet/JobSender.java
@@ -15,8 +15,10 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.concurrent.Executor;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.apache.commons.codec.digest.MurmurHash3;
 
 /**
@@ -26,6 +28,9 @@
 final class JobSender {
     private static final int CONNECT_MS = 500;
     private static final int MOST_ROUNDS = 3;
+    /** Ms to wait before another round where nobody has said for how long, and the longest that is waited. */
+    private static final long PAUSE = 200;
+    private static final long MOST_PAUSE = 3_000;
 
     private final String fleet;
     private final List<InetSocketAddress> targets;
@@ -50,10 +55,11 @@
      * once: empty if the shard is no longer held and the job was certainly not put in.
      */
     void put(Job job, long due, long epoch, BooleanSupplier holds, Consumer<Optional<String>> result) {
-        attempt(job, due, epoch, holds, result, 0);
+        attempt(job, due, epoch, holds, result, 0, MOST_PAUSE);
     }
 
-    private void attempt(Job job, long due, long epoch, BooleanSupplier holds, Consumer<Optional<String>> result, int number) {
+    private void attempt(Job job, long due, long epoch, BooleanSupplier holds, Consumer<Optional<String>> result, int number,
+            long pause) {
         if (number >= MOST_ROUNDS * targets.size()) {
             result.accept(Optional.of("refused"));
             return;
@@ -81,7 +87,10 @@
             boolean untaken = answer != null ? answer.statusCode() == 503 || answer.statusCode() == 429
                     : neverSent(failure);
             if (untaken || answer == null && job.effect() != Effect.UNSAFE) {
-                attempt(job, due, epoch, holds, result, number + 1);
+                long shortest = Math.min(pause, answer == null ? PAUSE : asked(answer));
+                boolean roundOver = (number + 1) % targets.size() == 0;
+                Executor next = roundOver ? CompletableFuture.delayedExecutor(shortest, TimeUnit.MILLISECONDS, loop) : loop;
+                next.execute(() -> attempt(job, due, epoch, holds, result, number + 1, roundOver ? MOST_PAUSE : shortest));
             } else if (answer == null) {
                 result.accept(Optional.of("in doubt: " + reason(failure)));
             } else {
@@ -90,6 +99,16 @@
         }, loop);
     }
 
+    /** For how long, ms, a refusal asks to be left alone. */
+    private static long asked(HttpResponse<?> refusal) {
+        try {
+            double seconds = Double.parseDouble(refusal.headers().firstValue("Retry-After").orElse(""));
+            return (long) Math.max(0, Math.min(MOST_PAUSE, seconds * 1000));
+        } catch (NumberFormatException noTime) {
+            return PAUSE;
+        }
+    }
+
     private static boolean neverSent(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         return cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException;
--- a/fleet/src/main/java/ferngrade/fleet/MemberProcess.java
+++ b/fleet/src/main/java/ferngrade/fleet/MemberProcess.java
@@ -195,15 +195,7 @@
 
     private void propose(Command command) {
         double asked = clock.now();
-        voter.propose(command, PATIENCE, new Voter.Outcome() {
-            @Override
-            public void done(Object result) {
-                holder.answered(asked, command, result);
-            }
-
-            @Override
-            public void unknown(String why) { }
-        });
+        voter.propose(command, PATIENCE, Voter.Outcome.of(result -> holder.answered(asked, command, result), why -> { }));
     }
 
     private void tick() {
@@ -255,20 +247,12 @@
         return new Performer.Actions() {
             @Override
             public void propose(Command command, Consumer<Object> done, Runnable unknown) {
-                voter.propose(command, PATIENCE, new Voter.Outcome() {
-                    @Override
-                    public void done(Object result) {
-                        if (result instanceof Command.Begun begun && begun.verdict() != Command.Verdict.ACCEPTED) {
-                            log.accept("not begun job=" + shard.duty() + " verdict=" + begun.verdict());
-                        }
-                        done.accept(result);
+                voter.propose(command, PATIENCE, Voter.Outcome.of(result -> {
+                    if (result instanceof Command.Begun begun && begun.verdict() != Command.Verdict.ACCEPTED) {
+                        log.accept("not begun job=" + shard.duty() + " verdict=" + begun.verdict());
                     }
-
-                    @Override
-                    public void unknown(String why) {
-                        unknown.run();
-                    }
-                });
+                    done.accept(result);
+                }, why -> unknown.run()));
             }
 
             @Override
@@ -308,17 +292,7 @@
     CompletableFuture<Object> transfer(String duty, int number, String to) {
         CompletableFuture<Object> answer = new CompletableFuture<>();
         loop.execute(() -> voter.propose(new Command.Transfer(new Shard(duty, number), to), PATIENCE,
-                new Voter.Outcome() {
-                    @Override
-                    public void done(Object result) {
-                        answer.complete(result);
-                    }
-
-                    @Override
-                    public void unknown(String why) {
-                        answer.complete(why);
-                    }
-                }));
+                Voter.Outcome.of(answer::complete, answer::complete)));
         return answer;
     }
 
--- a/trials/src/main/java/ferngrade/trials/VirtualSwarm.java
+++ b/trials/src/main/java/ferngrade/trials/VirtualSwarm.java
@@ -109,7 +109,7 @@
         String victim = swarm.names.get(swarm.chance.nextInt(size));
         swarm.kill(victim);
         while (swarm.time.now() < killed + 60_000 && swarm.members.values().stream().anyMatch(each -> each.up
-                && each.standing(victim) != Standing.FAILED)) {
+                && each.swim.alive(victim))) {
             swarm.time.run(swarm.time.now() + 20);
         }
         return swarm.result(swarm.time.now() - killed);
