Give ended watches their place back, keep the log's format open at its end, write less twice

Written once now: how a member runs to its end (`MemberProcess.runToEnd`, was in the command and in the trials' launcher), what stands still and dies in virtual time (`Standstill`, was in both fleets), a command that has sub-commands only.

--- a/agreement/src/main/java/ferngrade/agreement/LogFormat.java
+++ b/agreement/src/main/java/ferngrade/agreement/LogFormat.java
@@ -20,12 +20,11 @@
 import io.microraft.model.impl.persistence.DefaultRaftEndpointPersistentStateOrBuilder;
 import io.microraft.model.impl.persistence.DefaultRaftTermPersistentStateOrBuilder;
 import java.util.List;
-import java.util.stream.Stream;
 
 /** The classes that voters send each other and keep on disk; their order is the format, new ones go to the end. */
 public final class LogFormat {
-    private static final List<Class<?>> OWN = List.of(Endpoint.class, NewTerm.class, VoterLog.CutFrom.class, VoterLog.CutUntil.class,
-            VoterLog.DropChunks.class, Voter.Forward.class, Voter.Answered.class, MembershipChangeMode.class,
+    private static final List<Class<?>> OWN = List.of(Endpoint.class, NewTerm.class, VoterLog.CutFrom.class,
+            VoterLog.CutUntil.class, VoterLog.DropChunks.class, Voter.Forward.class, Voter.Answered.class, MembershipChangeMode.class,
             DefaultUpdateRaftGroupMembersOpOrBuilder.class, DefaultLogEntryOrBuilder.class,
             DefaultRaftGroupMembersViewOrBuilder.class, DefaultSnapshotChunkOrBuilder.class,
             DefaultSnapshotEntryOrBuilder.class, DefaultAppendEntriesFailureResponseOrBuilder.class,
@@ -40,6 +39,6 @@
 
     /** A codec for the log's own classes and those of the commands, in this order. */
     public static Codec codec(List<Class<?>> commands) {
-        return new Codec(Stream.concat(OWN.stream(), commands.stream()).toList());
+        return new Codec(OWN, commands);
     }
 }
--- a/agreement/src/main/java/ferngrade/agreement/Voter.java
+++ b/agreement/src/main/java/ferngrade/agreement/Voter.java
@@ -148,7 +148,8 @@
                         .setLeaderHeartbeatTimeoutSecs(SILENT_BEATS).setLeaderElectionTimeoutMillis(ELECTION_MS)
                         .setCommitCountToTakeSnapshot(terms.snapshotEvery()).setMaxPendingLogEntryCount(MOST_PENDING)
                         .setTransferSnapshotsFromFollowersEnabled(false).build())
-                .setExecutor(new Tasks(around, scale, new SplittableRandom(around.seed()))).setTransport(new Messages()).setStateMachine(new Applied(machine))
+                .setExecutor(new Tasks(around, scale)).setTransport(new Messages())
+                .setStateMachine(new Applied(machine))
                 .setStore(kept.store()).setRandom(new Random(around.seed())).setClock(new Pace(around.clock(), scale));
         if (kept.restored() != null) {
             this.self = (Endpoint) kept.restored().getLocalEndpointPersistentState().getLocalEndpoint();
@@ -390,10 +391,10 @@
         private final double scale;
         private final SplittableRandom chance;
 
-        Tasks(Surroundings around, double scale, SplittableRandom chance) {
+        Tasks(Surroundings around, double scale) {
             this.around = around;
             this.scale = scale;
-            this.chance = chance;
+            this.chance = new SplittableRandom(around.seed());
         }
 
         @Override
--- a/codec/src/main/java/ferngrade/codec/Codec.java
+++ b/codec/src/main/java/ferngrade/codec/Codec.java
@@ -16,21 +16,29 @@
  * Bytes of values of a few classes, which members send each other or keep on disk. Only the classes that are named can be
  * read: bytes of strangers make no others. Belongs to one thread.
  *
- * <p>The order of the classes is the format: new ones go to the end.
+ * <p>The order of the classes in each list is the format: new ones go to the end of theirs.
  */
 public final class Codec {
     private static final int MOST = 16 << 20;
+    /** How many classes a list may come to have. */
+    private static final int ROOM = 100;
     private static final List<Class<?>> PLAIN = List.of(String.class, ArrayList.class, LinkedHashSet.class);
 
     private final Kryo kryo = new ListsAlike();
     private final Output output = new Output(4096, MOST);
 
-    /** A codec for plain lists and sets, texts, and values of these classes. */
-    public Codec(List<Class<?>> classes) {
+    /** A codec for plain lists and sets, texts, and values of these classes, each list of which can grow by itself. */
+    @SafeVarargs
+    public Codec(List<Class<?>>... lists) {
         kryo.setRegistrationRequired(true);
         kryo.addDefaultSerializer(Collection.class, new Lists());
         PLAIN.forEach(kryo::register);
-        classes.forEach(kryo::register);
+        for (int i = 0; i < lists.length; i++) {
+            int number = (i + 1) * ROOM;
+            for (Class<?> each : lists[i]) {
+                kryo.register(each, number++);
+            }
+        }
     }
 
     /** The bytes of a value; one that holds any other class is a fault of the program. */
--- /dev/null
+++ b/fleet/src/main/java/ferngrade/fleet/CommandGroup.java
@@ -0,0 +1,15 @@
+package ferngrade.fleet;
+
+import ferngrade.cli.SubCommand;
+import picocli.CommandLine;
+
+/** A command that does nothing but by its sub-commands. */
+abstract class CommandGroup implements SubCommand, Runnable {
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is missing");
+    }
+}
--- a/fleet/src/main/java/ferngrade/fleet/FleetCommand.java
+++ b/fleet/src/main/java/ferngrade/fleet/FleetCommand.java
@@ -4,7 +4,6 @@
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import ferngrade.cli.Cli;
-import ferngrade.cli.SubCommand;
 import ferngrade.fleet.MemberProcess.Empty;
 import ferngrade.node.Clock;
 import ferngrade.toml.FileException;
@@ -32,15 +31,7 @@
         mixinStandardHelpOptions = true, subcommands = {FleetCommand.Check.class, FleetCommand.Run.class,
             FleetCommand.Status.class, FleetCommand.Duties.class, FleetCommand.Explain.class,
             FleetCommand.Transfer.class, FleetCommand.Leave.class, FleetCommand.Measure.class, CommandLine.HelpCommand.class})
-public final class FleetCommand implements SubCommand, Runnable {
-    @CommandLine.Spec
-    private CommandLine.Model.CommandSpec spec;
-
-    @Override
-    public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is missing");
-    }
-
+public final class FleetCommand extends CommandGroup {
     /** A command on a fleet's file. */
     abstract static class OnFile implements Callable<Integer> {
         @Parameters(index = "0", paramLabel = "FILE", description = "The fleet's file.")
@@ -105,15 +96,8 @@
                     UnaryOperator.identity(), clock, System::currentTimeMillis, line -> System.out.printf("%.3f %s %s%n", clock.now() / 1000, name, line)));
                     Calls calls = file.member(name).admin() == null ? null
                             : new Calls(file.member(name).admin(), member)) {
-                member.start();
-                Thread stop = new Thread(() -> {
-                    member.leave(2_000);
-                    Runtime.getRuntime().halt(member.ended().join());
-                }, "stop");
-                Runtime.getRuntime().addShutdownHook(stop);
-                int code = member.ended().get();
-                Runtime.getRuntime().halt(code);
-                return code;
+                member.runToEnd();
+                return 0;
             } catch (IOException cannot) {
                 System.err.println("ferngrade: " + cannot.getMessage());
                 return 1;
--- a/fleet/src/main/java/ferngrade/fleet/ListService.java
+++ b/fleet/src/main/java/ferngrade/fleet/ListService.java
@@ -56,10 +56,10 @@
     }
 
     private void handle(HttpExchange exchange) throws IOException {
+        BlockingQueue<String> lines = new ArrayBlockingQueue<>(MOST_WAITING);
         try (exchange) {
             String query = exchange.getRequestURI().getRawQuery();
             boolean watched = query != null && query.contains("watch=1");
-            BlockingQueue<String> lines = new ArrayBlockingQueue<>(MOST_WAITING);
             String first;
             synchronized (watches) {
                 first = whole;
@@ -82,6 +82,8 @@
             }
         } catch (InterruptedException ending) {
             Thread.currentThread().interrupt();
+        } finally {
+            watches.remove(lines);
         }
     }
 
--- a/fleet/src/main/java/ferngrade/fleet/MemberProcess.java
+++ b/fleet/src/main/java/ferngrade/fleet/MemberProcess.java
@@ -28,6 +28,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -43,6 +44,8 @@
 public final class MemberProcess implements AutoCloseable {
     private static final double PATIENCE = 1_000;
     private static final double ACT = 25;
+    /** Ms for a member that is told to end to give back what it holds. */
+    private static final double LEAVE = 2_000;
     private static final int SNAPSHOT_EVERY = 10_000;
     private static final long FILE_BYTES = 16 << 20;
     private static final byte VOTER = 0;
@@ -151,7 +154,7 @@
     }
 
     /** Takes part from here on. */
-    public void start() throws InterruptedException {
+    private void start() throws InterruptedException {
         InetSocketAddress address = links.start(file.member(name).address());
         log.accept("listening address=" + address.getHostString() + ":" + address.getPort()
                 + (membership == null ? "" : " gossip=" + membership.address().getHostString() + ":"
@@ -171,9 +174,17 @@
         });
     }
 
-    /** The exit code with which the process is to end, once it is. */
-    public CompletableFuture<Integer> ended() {
-        return ended;
+    /**
+     * Starts the member and ends the process once it has ended; on SIGTERM it leaves first. Does not return but by an
+     * exception.
+     */
+    public void runToEnd() throws InterruptedException, ExecutionException {
+        start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            leave(LEAVE);
+            Runtime.getRuntime().halt(ended.join());
+        }, "stop"));
+        Runtime.getRuntime().halt(ended.get());
     }
 
     /** A fault of the program must not leave a member that holds and does not act: it ends, and others take over. */
@@ -334,7 +345,7 @@
     }
 
     /** Gives back what is held, then ends; the result of {@link #ended} says when. */
-    public void leave(double patience) {
+    void leave(double patience) {
         loop.execute(() -> {
             log.accept("leaving");
             holder.drain();
--- a/fleet/src/main/java/ferngrade/fleet/MembersCommand.java
+++ b/fleet/src/main/java/ferngrade/fleet/MembersCommand.java
@@ -3,7 +3,6 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
-import ferngrade.cli.SubCommand;
 import java.net.http.HttpResponse;
 import java.util.Map;
 import java.util.TreeMap;
@@ -16,15 +15,7 @@
 @Command(name = "members", description = "Says who of the fleet seems to live, as one member sees it.",
         mixinStandardHelpOptions = true, subcommands = {MembersCommand.Listing.class, MembersCommand.Watch.class,
             FleetCommand.Leave.class, CommandLine.HelpCommand.class})
-public final class MembersCommand implements SubCommand, Runnable {
-    @CommandLine.Spec
-    private CommandLine.Model.CommandSpec spec;
-
-    @Override
-    public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is missing");
-    }
-
+public final class MembersCommand extends CommandGroup {
     /** A command that asks one member how it sees the others. */
     abstract static class Asking extends FleetCommand.Asking {
         @Parameters(index = "1", arity = "0..1", paramLabel = "MEMBER", description = "Whom to ask; the first that answers.")
@@ -50,6 +41,11 @@
             if (all == null) {
                 return 1;
             }
+            if (all.get("members").asArray().isEmpty()) {
+                System.err.printf("ferngrade: %s has no gossip address and takes no part in this%n",
+                        all.getString("member", ""));
+                return 1;
+            }
             System.out.printf("as %s sees it; %d datagrams refused%n", all.getString("member", ""), all.getLong("refused", 0));
             for (JsonValue each : all.get("members").asArray()) {
                 JsonObject one = each.asObject();
--- a/membership/src/main/java/ferngrade/membership/Swim.java
+++ b/membership/src/main/java/ferngrade/membership/Swim.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.apache.commons.codec.digest.MurmurHash3;
@@ -170,7 +171,7 @@
             left = true;
             self = self.as(Standing.LEFT, self.name());
             List<Peer> some = present(null);
-            Collections.shuffle(some, new java.util.Random(chance.nextLong()));
+            Collections.shuffle(some, new Random(chance.nextLong()));
             int tell = (int) Math.ceil(FAREWELLS * Math.log10(some.size() + 10.0));
             some.stream().limit(tell).forEach(each -> send(each.news(), new Sync(List.of(self), false)));
             agenda.clear();
@@ -253,7 +254,7 @@
         while (true) {
             if (round.isEmpty()) {
                 present(null).forEach(each -> round.add(each.name()));
-                Collections.shuffle(round, new java.util.Random(chance.nextLong()));
+                Collections.shuffle(round, new Random(chance.nextLong()));
                 if (round.isEmpty()) {
                     return null;
                 }
--- a/trials/src/main/java/ferngrade/trials/HurtMember.java
+++ b/trials/src/main/java/ferngrade/trials/HurtMember.java
@@ -36,15 +36,10 @@
         MemberProcess member = new MemberProcess(FleetFile.read(Path.of(all.get(2))), name, new MemberProcess.Start(data,
                 empty, HurtMember::hurt, clocks::monotonic, clocks::wall,
                 line -> System.out.printf("%.3f %s %s%n", clocks.monotonic() / 1000, name, line)));
-        member.start();
         Thread orders = new Thread(() -> obey(clocks), "orders");
         orders.setDaemon(true);
         orders.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            member.leave(2_000);
-            Runtime.getRuntime().halt(member.ended().join());
-        }));
-        Runtime.getRuntime().halt(member.ended().get());
+        member.runToEnd();
     }
 
     private static void obey(Clocks clocks) {
--- a/trials/src/main/java/ferngrade/trials/SmallCases.java
+++ b/trials/src/main/java/ferngrade/trials/SmallCases.java
@@ -1,5 +1,6 @@
 package ferngrade.trials;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -67,7 +68,7 @@
     }
 
     private static Mark mark(SmallWorld world) {
-        long[] hash = MurmurHash3.hash128x64(world.picture().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        long[] hash = MurmurHash3.hash128x64(world.picture().getBytes(StandardCharsets.UTF_8));
         return new Mark(hash[0], hash[1]);
     }
 }
--- a/trials/src/main/java/ferngrade/trials/UdpRelay.java
+++ b/trials/src/main/java/ferngrade/trials/UdpRelay.java
@@ -1,6 +1,7 @@
 package ferngrade.trials;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoopGroup;
@@ -66,7 +67,7 @@
     }
 
     private void write(InetSocketAddress to, byte[] datagram) {
-        channel.writeAndFlush(new DatagramPacket(io.netty.buffer.Unpooled.wrappedBuffer(datagram), to),
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), to),
                 channel.voidPromise());
     }
 
--- a/trials/src/main/java/ferngrade/trials/VirtualMember.java
+++ b/trials/src/main/java/ferngrade/trials/VirtualMember.java
@@ -19,7 +19,6 @@
 import java.io.IOException;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -38,10 +37,8 @@
     private final Holder holder;
     private final Voter voter;
     private final Timers timers;
-    private final List<Runnable> held = new ArrayList<>();
+    private final Standstill process = new Standstill();
     private final List<Performer> performers;
-    private boolean alive = true;
-    private boolean paused;
 
     /** Starts a process of the member; its clock runs at this rate and from zero, and it may have lost its disk. */
     VirtualMember(VirtualFleet fleet, String name, FaultyDisk disk, double rate, long seed, boolean anew)
@@ -115,38 +112,31 @@
         return (fleet.time.now() - began) * rate;
     }
 
-    /** Runs something of this process: later if it stands still, never once it is dead. */
+    /** Runs something of this process, as {@link Standstill} lets it. */
     void enter(Runnable run) {
-        if (paused && alive) {
-            held.add(run);
-        } else if (alive) {
+        process.enter(() -> {
             try {
                 run.run();
             } catch (RuntimeException | AssertionError fault) {
                 // A disk that has failed has ended the process; anything else must not happen.
-                if (alive) {
+                if (alive()) {
                     fleet.fault(name, fault);
                     die();
                 }
             }
-        }
+        });
     }
 
     boolean alive() {
-        return alive;
+        return process.alive();
     }
 
     void die() {
-        alive = false;
+        process.die();
     }
 
     void pause(boolean begins) {
-        paused = begins;
-        if (!begins) {
-            List<Runnable> waiting = List.copyOf(held);
-            held.clear();
-            waiting.forEach(this::enter);
-        }
+        process.pause(begins);
     }
 
     void drain() {
@@ -167,7 +157,7 @@
 
     /** The epoch under which this process would act for a shard now. */
     OptionalLong epoch(Shard shard) {
-        return alive ? holder.epoch(shard, now(), table) : OptionalLong.empty();
+        return alive() ? holder.epoch(shard, now(), table) : OptionalLong.empty();
     }
 
     void propose(Command command) {
--- a/trials/src/main/java/ferngrade/trials/VirtualSwarm.java
+++ b/trials/src/main/java/ferngrade/trials/VirtualSwarm.java
@@ -10,8 +10,8 @@
 import ferngrade.membership.Standing;
 import ferngrade.membership.Swim;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,8 +25,7 @@
  * was sent before, or forges. What must hold is judged as it happens and at the end.
  */
 public final class VirtualSwarm {
-    private static final List<byte[]> KEYS = List.of("a key that all members share".getBytes(
-            java.nio.charset.StandardCharsets.UTF_8));
+    private static final List<byte[]> KEYS = List.of("a key that all members share".getBytes(StandardCharsets.UTF_8));
     private static final double FAULTS_FROM = 5_000;
     private static final double FAULTS_UNTIL = 20_000;
     private static final int KEPT = 200;
@@ -39,7 +38,6 @@
     private final Set<String> cuts = new HashSet<>();
     private final Set<String> lively = new HashSet<>();
     private final List<Sent> kept = new ArrayList<>();
-    private final Map<String, Double> lastTrouble = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private double loss;
     private boolean faultless;
@@ -48,7 +46,6 @@
     private long suspicions;
     private long falseEnds;
     private long refused;
-    private long forged;
     private int widest;
     private long runs = 1;
 
@@ -108,7 +105,7 @@
         double killed = swarm.time.now();
         String victim = swarm.names.get(swarm.chance.nextInt(size));
         swarm.kill(victim);
-        while (swarm.time.now() < killed + 60_000 && swarm.members.values().stream().anyMatch(each -> each.up
+        while (swarm.time.now() < killed + 60_000 && swarm.members.values().stream().anyMatch(each -> each.process.alive()
                 && each.swim.alive(victim))) {
             swarm.time.run(swarm.time.now() + 20);
         }
@@ -132,22 +129,22 @@
         time.run(FAULTS_UNTIL + 8_000);
         cuts.clear();
         loss = 0;
-        members.values().forEach(each -> each.pause(false));
+        members.values().forEach(each -> each.process.pause(false));
         double quiet = 40_000 + 4 * names.size() * 500;
         time.run(time.now() + quiet);
         for (One one : members.values()) {
-            if (!one.up) {
+            if (!one.process.alive()) {
                 continue;
             }
             for (One other : members.values()) {
                 Standing seen = one.standing(other.name);
-                boolean right = other == one || (other.up ? seen == Standing.ALIVE
+                boolean right = other == one || (other.process.alive() ? seen == Standing.ALIVE
                         : seen == null || seen == Standing.FAILED || seen == Standing.LEFT);
                 if (!right) {
-                    breach("agreed", one.name + " holds " + other.name + ", which is " + (other.up ? "up" : "gone")
+                    breach("agreed", one.name + " holds " + other.name + ", which is " + (other.process.alive() ? "up" : "gone")
                             + ", for " + seen + " after " + quiet + " ms of quiet");
                 }
-                if (other.up && other != one && one.run(other.name) != other.run) {
+                if (other.process.alive() && other != one && one.run(other.name) != other.run) {
                     breach("agreed", one.name + " knows an old process of " + other.name);
                 }
             }
@@ -175,8 +172,8 @@
                 time.after(20 + chance.nextDouble() * 200, () -> start(one));
             }
             case 2 -> {
-                member.pause(true);
-                time.after(length, () -> member.pause(false));
+                member.process.pause(true);
+                time.after(length, () -> member.process.pause(false));
             }
             case 3 -> cut(List.of(one + ">" + other), length);
             case 4 -> {
@@ -195,9 +192,9 @@
                 time.after(length, () -> loss = 0);
             }
             default -> {
-                if (member.up) {
-                    member.enter(() -> member.swim.leave(time.now()));
-                    member.up = false;
+                if (member.process.alive()) {
+                    member.process.enter(() -> member.swim.leave(time.now()));
+                    member.process.die();
                     if (chance.nextBoolean()) {
                         time.after(length, () -> start(one));
                     }
@@ -223,7 +220,7 @@
         if (forges) {
             bad[chance.nextInt(bad.length)] ^= (byte) (1 << chance.nextInt(8));
         }
-        to.enter(() -> {
+        to.process.enter(() -> {
             Seal.Opened opened = to.seal.open("intruder", bad);
             if (opened.verdict() == Seal.Verdict.TAKEN) {
                 breach(forges ? "forged" : "replayed", to.name + " has taken what " + old.from() + " had not sent it so");
@@ -235,11 +232,11 @@
     }
 
     private void kill(String name) {
-        members.get(name).up = false;
+        members.get(name).process.die();
     }
 
     private void start(String name) {
-        if (!members.containsKey(name) || !members.get(name).up) {
+        if (!members.containsKey(name) || !members.get(name).process.alive()) {
             members.put(name, new One(name));
         }
     }
@@ -260,9 +257,7 @@
         final Seal seal;
         final Swim swim;
         final Codec codec = new Codec(Message.CLASSES);
-        final List<Runnable> held = new ArrayList<>();
-        boolean up = true;
-        boolean paused;
+        final Standstill process = new Standstill();
 
         One(String name) {
             this.name = name;
@@ -279,24 +274,7 @@
 
         private void tick() {
             swim.run(now());
-            time.after(Math.max(0.01, swim.next() - now()), () -> enter(this::tick));
-        }
-
-        void enter(Runnable task) {
-            if (up && paused) {
-                held.add(task);
-            } else if (up) {
-                task.run();
-            }
-        }
-
-        void pause(boolean begins) {
-            paused = begins;
-            if (!begins) {
-                List<Runnable> waiting = List.copyOf(held);
-                held.clear();
-                waiting.forEach(this::enter);
-            }
+            time.after(Math.max(0.01, swim.next() - now()), () -> process.enter(this::tick));
         }
 
         Standing standing(String other) {
@@ -325,7 +303,7 @@
             time.after(delay, () -> {
                 One there = members.get(to);
                 if (there != null) {
-                    there.enter(() -> {
+                    there.process.enter(() -> {
                         if (kept.size() < KEPT && chance.nextInt(20) == 0) {
                             kept.add(new Sent(name, to, datagram));
                         }
@@ -368,7 +346,7 @@
         public void changed(Peer before, Peer after) {
             One other = members.get(after.name());
             suspicions += after.standing() == Standing.SUSPECT ? 1 : 0;
-            if (after.standing() == Standing.FAILED && other != null && other.up && !other.paused && !paused
+            if (after.standing() == Standing.FAILED && other != null && other.process.alive() && !other.process.paused() && !process.paused()
                     && cuts.isEmpty() && after.news().run() == other.run) {
                 falseEnds++;
                 if (faultless) {
