Begin nothing for a client that left while its worker was dialled

Ruled out: the request table (a request that waits is dropped with its client) and the send itself (Node.send asks whether the request is over before it dials). At fault: Node.Listener.mayStart, asked right before the first byte, looked at the attempt and the worker's entry, not at whether the request is over; a dial of up to ConnectTimeout lies between the two questions. Change: it asks that too. That also keeps a second copy from beginning once another attempt has been served.

--- a/node/src/main/java/ferngrade/node/Node.java
+++ b/node/src/main/java/ferngrade/node/Node.java
@@ -363,7 +363,8 @@
 
         @Override
         public boolean mayStart() {
-            return !attempt.ended && members.stands(attempt.member);
+            // A dial may outlast what it was for: the client may have gone, or another attempt have been served.
+            return !attempt.ended && !attempt.exchange.over() && members.stands(attempt.member);
         }
 
         @Override
--- a/node/src/test/java/ferngrade/net/NodeStoriesTest.java
+++ b/node/src/test/java/ferngrade/net/NodeStoriesTest.java
@@ -5,47 +5,20 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
-import com.eclipsesource.json.Json;
-import ferngrade.config.NodeConfig;
 import ferngrade.net.RawHttp.Message;
-import ferngrade.node.Clock;
-import ferngrade.node.Log;
-import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Stories of a whole node on loopback sockets, against a worker and a discovery that the story speaks for. */
 @Test(timeOut = 30_000)
-public class NodeStoriesTest {
-    private ServerSocket worker;
-    private ServerSocket discovery;
-    private NodeServer node;
-
-    @BeforeMethod
-    public void listen() throws IOException {
-        worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        worker.setSoTimeout(10_000);
-        discovery.setSoTimeout(10_000);
-    }
-
-    @AfterMethod(alwaysRun = true)
-    public void end() throws Exception {
-        worker.close();
-        discovery.close();
-        node.stop(0);
-    }
-
+public class NodeStoriesTest extends NodeStory {
     @Test
     public void jobGoesThroughUnchangedAndItsResultComesBack() throws Exception {
         start(list(1, "active"));
@@ -344,59 +317,4 @@
             stopped.get();
         }
     }
-
-    private void stop() {
-        try {
-            node.stop();
-        } catch (InterruptedException interrupted) {
-            throw new IllegalStateException(interrupted);
-        }
-    }
-
-    private static void awaitReadiness(RawHttp client, int status) throws IOException {
-        while (client.write("GET /-/ready HTTP/1.1\r\n\r\n").read().status() != status) {
-            Thread.onSpinWait();
-        }
-    }
-
-    private void start(String known) throws Exception {
-        Clock clock = Clock.system();
-        node = NodeServer.start(config(discovery.getLocalPort(), known), clock, new Log(clock, line -> { }));
-    }
-
-    private static NodeConfig config(int discoveryPort, String known) throws Exception {
-        String config = "{'name':'n0','listen':'127.0.0.1:0','discovery':'127.0.0.1:" + discoveryPort
-                + "','seed':'7','limits':{'sockets':64},'settings':{'Zones':['z'],'Kinds':['k'],'Tenants':[{'Name':'t','Share':1}],"
-                + "'Extra':{'TellsStart':true},'Ceilings':{'MostTries':5,'RetryAfter':true,'MaxRetryAfter':2000},"
-                + "'Classes':[{'Name':'order','Effect':'at_most_once','Deadline':9000.0},"
-                + "{'Name':'plan','Effect':'deduplicated','KeyScope':'all'}]}}";
-        var json = Json.parse(config.replace('\'', '"')).asObject();
-        if (known != null) {
-            json.set("known", Json.parse(known));
-        }
-        return NodeConfig.read(json);
-    }
-
-    private String list(int revision, String phase) {
-        return "{\"revision\":" + revision + ",\"complete\":true,\"members\":[{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:"
-                + worker.getLocalPort() + "\",\"locality\":\"z\",\"flavor\":\"k\",\"phase\":\"" + phase + "\"},"
-                + "{\"id\":\"s-2\",\"host_port\":7,\"phase\":\"active\"}]}";
-    }
-
-    private static String job(String target, String id, String kind) {
-        return target + " HTTP/1.1\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind
-                + "\r\nReq-Owner: t\r\nReq-Deadline: 9000m";
-    }
-
-    private static String chunk(String text) {
-        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-    }
-
-    private int callBack(String id, String rest) throws IOException {
-        InetSocketAddress address = node.address();
-        try (RawHttp caller = RawHttp.to(address)) {
-            String body = "{\"id\":\"" + id + "\",\"from\":\"s-1\"," + rest + "}";
-            return caller.write(RawHttp.message("POST /_jobs/news HTTP/1.1", body)).read().status();
-        }
-    }
 }
--- /dev/null
+++ b/node/src/test/java/ferngrade/net/NodeStory.java
@@ -0,0 +1,105 @@
+package ferngrade.net;
+
+import com.eclipsesource.json.Json;
+import ferngrade.config.NodeConfig;
+import ferngrade.node.Clock;
+import ferngrade.node.Log;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+
+/** A whole node on loopback sockets, against a worker and a discovery that the story speaks for. */
+abstract class NodeStory {
+    /** The worker that the list names; the story accepts and speaks for it. */
+    ServerSocket worker;
+    ServerSocket discovery;
+    NodeServer node;
+
+    @BeforeMethod
+    public void listen() throws IOException {
+        worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        worker.setSoTimeout(10_000);
+        discovery.setSoTimeout(10_000);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void end() throws Exception {
+        worker.close();
+        discovery.close();
+        node.stop(0);
+    }
+
+    void stop() {
+        try {
+            node.stop();
+        } catch (InterruptedException interrupted) {
+            throw new IllegalStateException(interrupted);
+        }
+    }
+
+    static void awaitReadiness(RawHttp client, int status) throws IOException {
+        while (client.write("GET /-/ready HTTP/1.1\r\n\r\n").read().status() != status) {
+            Thread.onSpinWait();
+        }
+    }
+
+    void start(String known) throws Exception {
+        start(config(discovery.getLocalPort(), known), Clock.system());
+    }
+
+    void start(NodeConfig config, Clock clock) throws Exception {
+        node = NodeServer.start(config, clock, new Log(clock, line -> { }));
+    }
+
+    /**
+     * Returns once the node has done what the bytes and closes before this call ask for: its loop reads those no
+     * later than the first of these requests, and carries out what follows before it reads the second.
+     */
+    void settled() throws IOException {
+        try (RawHttp other = RawHttp.to(node.address())) {
+            for (int i = 0; i < 3; i++) {
+                other.write("GET /-/ready HTTP/1.1\r\n\r\n").read();
+            }
+        }
+    }
+
+    static NodeConfig config(int discoveryPort, String known) throws Exception {
+        String config = "{'name':'n0','listen':'127.0.0.1:0','discovery':'127.0.0.1:" + discoveryPort
+                + "','seed':'7','limits':{'sockets':64},'settings':{'Zones':['z'],'Kinds':['k'],'Tenants':[{'Name':'t','Share':1}],"
+                + "'Extra':{'TellsStart':true},'Ceilings':{'MostTries':5,'ConnectTimeout':5000,'RetryAfter':true,'MaxRetryAfter':2000},"
+                + "'Classes':[{'Name':'order','Effect':'at_most_once','Deadline':9000.0},"
+                + "{'Name':'plan','Effect':'deduplicated','KeyScope':'all'}]}}";
+        var json = Json.parse(config.replace('\'', '"')).asObject();
+        if (known != null) {
+            json.set("known", Json.parse(known));
+        }
+        return NodeConfig.read(json);
+    }
+
+    String list(int revision, String phase) {
+        return "{\"revision\":" + revision + ",\"complete\":true,\"members\":[{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:"
+                + worker.getLocalPort() + "\",\"locality\":\"z\",\"flavor\":\"k\",\"phase\":\"" + phase + "\"},"
+                + "{\"id\":\"s-2\",\"host_port\":7,\"phase\":\"active\"}]}";
+    }
+
+    static String job(String target, String id, String kind) {
+        return target + " HTTP/1.1\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind
+                + "\r\nReq-Owner: t\r\nReq-Deadline: 9000m";
+    }
+
+    static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    int callBack(String id, String rest) throws IOException {
+        InetSocketAddress address = node.address();
+        try (RawHttp caller = RawHttp.to(address)) {
+            String body = "{\"id\":\"" + id + "\",\"from\":\"s-1\"," + rest + "}";
+            return caller.write(RawHttp.message("POST /_jobs/news HTTP/1.1", body)).read().status();
+        }
+    }
+}
