Let no two events of one connection, watch or stop cross: read on, settle, linger

Each item names what could cross, and what changed: - A client's close behind pipelined requests was not heard, as reading stopped with the first that waits: reads on, 64 requests and a share of memory at most, the rest is dropped and the connection ends. - A pipelined request's time ran from its turn, not from its arrival: a worker was told more than was left. - A worker's half line on an idle connection, or bytes behind an answer, were read as the next answer's beginning: both end the connection. A second answer some ms late was taken for the next request's: 50 ms of rest before reuse. - The close that gives an attempt up could cross the 202: a DELETE follows, and where the client still waits the next attempt waits until that is written. A worker that may still run an attempt does not get the request again. - A stop closed idle connections and then everything, over unread bytes: the sending side is shut, what comes is dropped, up to 1 s, and the process ends when clients have read. - A process acted on the list of an earlier one before it had asked: it counts only once discovery could not be heard. - A watch took a 503's body for lines, indented lists for garbage, went on after what it could not read, and let an older list undo a newer one; it reads objects over several lines, asks anew, and asks for all where the version fell. - A load report that cannot be read cost the call-back that brought it. Ruled out: TCP_NODELAY was on for clients and workers; each attempt's end was counted once already.

--- a/emulator/src/main/java/ferngrade/emulator/VirtualWorkers.java
+++ b/emulator/src/main/java/ferngrade/emulator/VirtualWorkers.java
@@ -213,10 +213,14 @@
         }
 
         @Override
-        public void giveUp() {
-            if (givenUp || over) {
-                return;
+        public void giveUp(Runnable told) {
+            if (!givenUp && !over) {
+                giveUp();
             }
+            told.run();
+        }
+
+        private void giveUp() {
             givenUp = true;
             if (taken) {
                 double way = run.network.stream(node.zone, worker.zone);
--- a/node/src/main/java/ferngrade/net/Bounds.java
+++ b/node/src/main/java/ferngrade/net/Bounds.java
@@ -3,9 +3,10 @@
 /**
  * How many connections of which sort there may be, all from the limits that the configuration gives. {@code
  * front}: those that clients and workers' call-backs have opened; {@code jobs}: those of them with a job in work;
- * {@code owing}: those of them that owe a whole request or their end; {@code workers}: those opened to workers.
+ * {@code owing}: those of them that owe a whole request or their end; {@code workers}: those opened to workers. {@code
+ * waiting}: bytes of bodies that may wait behind requests in work.
  */
-record Bounds(int front, int jobs, int owing, int workers) {
+record Bounds(int front, int jobs, int owing, int workers, long waiting) {
     /** Descriptors of the runtime itself, the listeners, discovery (two while it moves) and the peers. */
     private static final int OWN = 24;
     /** Share of the descriptors kept back for what lies beside the counts: accepts and closes under way. */
@@ -26,6 +27,7 @@
         int front = usable - workers;
         // Each that owes a request may hold most of a body: together at most a sixteenth of the memory.
         int bodies = (memoryMb << 20) / 16 / Front.MOST_BODY;
-        return new Bounds(front, (int) (JOBS * front), Math.min((int) (OWING * front), bodies), workers);
+        return new Bounds(front, (int) (JOBS * front), Math.min((int) (OWING * front), bodies), workers,
+                ((long) memoryMb << 20) / 32);
     }
 }
--- a/node/src/main/java/ferngrade/net/ConnectionPool.java
+++ b/node/src/main/java/ferngrade/net/ConnectionPool.java
@@ -22,6 +22,11 @@
     /** The least that a learned limit becomes, ms, and the time in which it doubles again. */
     private static final double LEAST = 20;
     private static final double RECOVERY = 10_000;
+    /**
+     * How long a connection stands idle before it is used again, ms. A worker's second answer may come some
+     * milliseconds late; on a connection that carries the next request by then it would be taken for that one's.
+     */
+    private static final double SETTLED = 50;
     /** Idle connections kept for one worker. */
     private static final int MOST_IDLE = 16;
 
@@ -44,17 +49,21 @@
         timers.after(SWEEP, this::sweep);
     }
 
-    /** The idle connection used last, or null if there is none fit for use. */
+    /** The idle connection used last that is fit for use, or null if there is none. */
     WorkerConnection take(InetSocketAddress worker) {
         Deque<WorkerConnection> pooled = idle.get(worker);
-        while (pooled != null && !pooled.isEmpty()) {
-            WorkerConnection connection = pooled.pop();
+        if (pooled == null) {
+            return null;
+        }
+        for (WorkerConnection connection : new ArrayList<>(pooled)) {
             double idleFor = clock.now() - connection.idleSince;
-            if (connection.isActive() && idleFor < limit(worker)) {
+            if (!connection.isActive() || idleFor >= limit(worker)) {
+                connection.close();
+            } else if (idleFor >= SETTLED) {
+                pooled.remove(connection);
                 connection.reusedAfter = idleFor;
                 return connection;
             }
-            connection.close();
         }
         return null;
     }
--- a/node/src/main/java/ferngrade/net/DiscoveryWatch.java
+++ b/node/src/main/java/ferngrade/net/DiscoveryWatch.java
@@ -34,8 +34,12 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Watches the worker list at one address: one long answer, a line for each change. A watch that breaks or falls
- * silent is opened anew from the last version seen; until then the last list stays.
+ * Watches the worker list at one address: one long answer, an object for each change. A watch that breaks, falls
+ * silent or tells what cannot be read is opened anew from the last version seen; until then the last list stays.
+ *
+ * <p>What discovery has counts as told 6 s after it had it and could be reached. Within that fit, in the worst
+ * order, a silence to be noticed, a dial that hangs and an answer that does not begin, with the pauses between:
+ * 2.5 + 0.1 + 1 + 0.2 + 1 + 0.4 s.
  */
 final class DiscoveryWatch {
     /**
@@ -60,9 +64,13 @@
     private final Log log;
     private final Runnable whenListed;
     private final Bootstrap bootstrap;
+    /** The connection whose word counts, null while there is none. */
     private Channel channel;
+    private ObjectLines lines;
     private long revision;
     private boolean listed;
+    /** Ask for the whole list: an answer from the last version on was older than that. */
+    private boolean anew;
     private boolean stopped;
     private double retry = RETRY_FIRST;
     private Timers.Timer silence;
@@ -77,6 +85,7 @@
         this.log = log;
         this.whenListed = whenListed;
         this.bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -98,9 +107,7 @@
     /** Ends the watch for good: nothing that it still hears counts. */
     void stop() {
         stopped = true;
-        if (channel != null) {
-            channel.close();
-        }
+        giveUp();
     }
 
     /** Opens the watch; it keeps itself open from here on. */
@@ -121,23 +128,36 @@
 
     private void watch(Channel opened) {
         channel = opened;
+        lines = new ObjectLines(LONGEST_LINE);
         // Only a list from discovery has a version to go on from: the stored one may be of another life.
-        String target = "/api/targets?watch=1" + (listed ? "&from=" + revision : "");
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target);
+        boolean on = listed && !anew;
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                "/api/targets?watch=1" + (on ? "&from=" + revision : ""));
         request.headers().set(HttpHeaderNames.HOST, discovery.getHostString() + ":" + discovery.getPort());
-        opened.closeFuture().addListener(ended -> {
-            silence.cancel();
-            again("watch ended");
-        });
-        listen(opened, FIRST_SILENCE);
+        opened.closeFuture().addListener(ended -> ended());
+        listen(FIRST_SILENCE);
         opened.writeAndFlush(request);
     }
 
-    private void listen(Channel from, double patience) {
+    private void listen(double patience) {
         if (silence != null) {
             silence.cancel();
         }
-        silence = timers.after(patience, from::close);
+        silence = timers.after(patience, this::giveUp);
+    }
+
+    /** Ends the present connection: nothing that was on its way over it counts any more. */
+    private void giveUp() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    /** The one place where a watch ends, from whichever side. */
+    private void ended() {
+        channel = null;
+        silence.cancel();
+        again("watch ended");
     }
 
     private void again(String why) {
@@ -151,32 +171,51 @@
     }
 
     private void line(String line) {
-        if (stopped || line.isBlank()) {
-            return;
-        }
         try {
-            MemberList list = reader.read(Json.parse(line));
-            list.faults().forEach(fault -> log.line("discovery listed what cannot be used: " + fault));
-            revision = list.revision();
+            String object = lines.add(line);
             retry = RETRY_FIRST;
-            if (!listed && list.complete()) {
-                listed = true;
-                whenListed.run();
+            if (object != null) {
+                told(reader.read(Json.parse(object)));
             }
-            node.members(list.complete() ? News.WHOLE : News.CHANGES, list.members());
         } catch (ParseException | IllegalArgumentException malformed) {
-            log.line("discovery sent what is no list: " + malformed.getMessage());
+            // Whatever it was to say is asked for again.
+            log.line("list", "discovery sent what is no list: " + malformed.getMessage());
+            giveUp();
         }
     }
 
+    private void told(MemberList list) {
+        list.faults().forEach(fault -> log.line("list entry", "discovery listed what cannot be used: " + fault));
+        if (listed && !anew && list.revision() < revision) {
+            // A copy that lags, or a source that began anew: the whole list, asked for without a version, tells.
+            anew = true;
+            log.line("list", "discovery told version " + list.revision() + " after " + revision);
+            giveUp();
+            return;
+        }
+        anew &= !list.complete();
+        revision = list.revision();
+        if (!listed && list.complete()) {
+            listed = true;
+            whenListed.run();
+        }
+        node.members(list.complete() ? News.WHOLE : News.CHANGES, list.members());
+    }
+
     /** Passes the answer's body on as it comes. */
     private final class BodyHandler extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            listen(ctx.channel(), SILENCE);
+            if (ctx.channel() != channel || !channel.isOpen()) {
+                ReferenceCountUtil.release(message);
+                return;
+            }
             if (message instanceof HttpResponse response && response.status().code() != 200) {
-                ctx.close();
+                ReferenceCountUtil.release(message);
+                giveUp();
+                return;
             }
+            listen(SILENCE);
             if (message instanceof HttpContent content) {
                 ctx.fireChannelRead(content.content());
                 if (content instanceof LastHttpContent) {
@@ -192,12 +231,14 @@
     private final class LineHandler extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
-            line(line.toString(StandardCharsets.UTF_8));
+            if (ctx.channel() == channel && channel.isOpen()) {
+                line(line.toString(StandardCharsets.UTF_8));
+            }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            log.line("discovery's answer cannot be read: " + cause.getMessage());
+            log.line("list", "discovery's answer cannot be read: " + cause.getMessage());
             ctx.close();
         }
     }
--- a/node/src/main/java/ferngrade/net/Front.java
+++ b/node/src/main/java/ferngrade/net/Front.java
@@ -35,6 +35,8 @@
     /** How long a connection may owe something, ms: with an answer on top it is over well within 3 s. */
     private static final double PATIENCE = 1500;
     private static final double SWEEP = 250;
+    /** How long a node whose last job has its answer waits for clients to read theirs and end, ms. */
+    private static final double LINGER = 1000;
     private static final int BACKLOG = 1024;
     /** Connections that the listener accepts in one turn, as Netty has it; after so many, more may wait. */
     private static final int ACCEPTS = 16;
@@ -50,15 +52,23 @@
     private final Map<FrontHandler, Double> owing = new LinkedHashMap<>();
     private Channel listener;
     private boolean inherited;
-    private boolean draining;
+    private Stage stage = Stage.SERVING;
     private boolean drained;
     private Runnable whenDone;
     private int jobs;
+    /** Bytes of the bodies that wait behind requests in work, on all connections. */
+    private long waitingBytes;
     /** Since when connections may have waited to be accepted; the accepts of this turn, and if there are more. */
     private double waiting;
     private int accepts;
     private boolean more;
 
+    /**
+     * SERVING. DRAINING: told to stop, each answer ends its connection. FINISHING: jobs that come are refused, and
+     * those in work wait for their call-backs. LINGERING: all have their answers, clients still read them. ENDED.
+     */
+    private enum Stage { SERVING, DRAINING, FINISHING, LINGERING, ENDED }
+
     Front(Bounds bounds, Clock clock, Arrivals arrivals, Timers timers, Sibling sibling) {
         this.sibling = sibling;
         this.bounds = bounds;
@@ -119,12 +129,12 @@
 
     /** True while every answer ends its connection: the node stops, or operators have drained it. */
     boolean draining() {
-        return draining || drained;
+        return stage != Stage.SERVING || drained;
     }
 
     /** True unless the node stops or operators have drained it; the client front then sends no one new. */
     boolean takesClients() {
-        return !draining && !drained;
+        return stage == Stage.SERVING && !drained;
     }
 
     /** The other process of this node, while two share the clients' socket; null where the socket is its own. */
@@ -137,7 +147,9 @@
      * handed over, the next process has said yes and the platform holds the socket, so this one takes none.
      */
     void drain() {
-        draining = true;
+        if (stage == Stage.SERVING) {
+            stage = Stage.DRAINING;
+        }
         if (inherited) {
             listener.config().setAutoRead(false);
         }
@@ -149,7 +161,7 @@
      */
     void drainForOperators() {
         drained = true;
-        new ArrayList<>(idle).forEach(this::end);
+        new ArrayList<>(idle).forEach(FrontHandler::shut);
     }
 
     /** Operators take clients again. */
@@ -158,18 +170,22 @@
     }
 
     /**
-     * Takes no more jobs, ends what is idle, and calls {@code done} when every job has its answer. Till then
-     * it listens: the workers' call-backs, which those answers wait for, come on connections of their own.
+     * Takes no more jobs, ends what is idle, and calls {@code done} when every job has its answer and clients have
+     * read theirs. Till the last answer it listens: the workers' call-backs, which those answers wait for, come on
+     * connections of their own.
      */
     void finish(Runnable done) {
-        whenDone = done;
-        new ArrayList<>(idle).forEach(FrontHandler::close);
-        checkDone();
+        if (stage.compareTo(Stage.FINISHING) < 0) {
+            stage = Stage.FINISHING;
+            whenDone = done;
+            new ArrayList<>(idle).forEach(FrontHandler::shut);
+            checkDone();
+        }
     }
 
     /** True from {@link #finish} on: a job that comes now is refused. */
     boolean finishing() {
-        return whenDone != null;
+        return stage.compareTo(Stage.FINISHING) >= 0;
     }
 
     /** True if so many jobs are in work that the connections left are for call-backs. */
@@ -222,8 +238,8 @@
     }
 
     void idle(FrontHandler connection) {
-        if (whenDone != null || drained) {
-            connection.close();
+        if (finishing() || drained) {
+            connection.shut();
         } else if (connection.proven()) {
             idle.add(connection);
         } else {
@@ -236,6 +252,19 @@
         idle.remove(connection);
         owing.remove(connection);
         makeRoom();
+        checkDone();
+    }
+
+    /** Takes so many bytes in that wait behind a request in work; false if there is no room for them. */
+    boolean holds(int bytes) {
+        boolean room = waitingBytes + bytes <= bounds.waiting();
+        waitingBytes += room ? bytes : 0;
+        return room;
+    }
+
+    /** So many bytes wait no more. */
+    void held(int bytes) {
+        waitingBytes -= bytes;
     }
 
     private void makeRoom() {
@@ -267,9 +296,22 @@
         timers.after(SWEEP, this::sweep);
     }
 
+    /** The one place where the front ends: once its last job, then its last connection has, or clients' time is up. */
     private void checkDone() {
-        if (whenDone != null && jobs == 0) {
+        if (stage == Stage.FINISHING && jobs == 0) {
+            stage = Stage.LINGERING;
             listener.close();
+            new ArrayList<>(open).stream().filter(FrontHandler::resting).forEach(FrontHandler::shut);
+            timers.after(LINGER, this::ended);
+        }
+        if (stage == Stage.LINGERING && open.isEmpty()) {
+            ended();
+        }
+    }
+
+    private void ended() {
+        if (stage == Stage.LINGERING) {
+            stage = Stage.ENDED;
             whenDone.run();
         }
     }
--- a/node/src/main/java/ferngrade/net/FrontHandler.java
+++ b/node/src/main/java/ferngrade/net/FrontHandler.java
@@ -32,20 +32,26 @@
  */
 final class FrontHandler extends ChannelInboundHandlerAdapter {
     /** Requests that may wait behind the one in work; the connection ends after them if more have come. */
-    private static final int MOST_WAITING = 16;
+    private static final int MOST_WAITING = 64;
+    /**
+     * Bytes dropped of a connection that is to end anyway, while it has a request in work, before the rest is left to
+     * its sender. Till then all is read: a client that closes is heard of by reading only.
+     */
+    private static final int MOST_DROPPED = 256 << 10;
 
     private final Front front;
     private final Node node;
     private final RequestReader reader;
     private final Clock clock;
     private final Log log;
-    private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
     private ChannelHandlerContext context;
-    private boolean busy;
+    private State state = State.RESTING;
     private boolean keepAlive = true;
+    /** More came than may wait: the connection ends after what waits, and drops what else comes. */
     private boolean overrun;
+    private int droppedBytes;
     private boolean received;
-    private boolean ending;
     private boolean proven;
     private String taken;
     private final Arrivals arrivals;
@@ -55,6 +61,15 @@
     /** Since when the bytes read last may have been here. */
     private double arrived;
 
+    /**
+     * RESTING: between requests, or one is coming in. BUSY: one is in work. ENDING: this side is shut and what still
+     * comes is dropped, so that no request is read that could not be answered.
+     */
+    private enum State { RESTING, BUSY, ENDING }
+
+    /** A request behind the one in work, and since when it may have been here: its client's time runs from then. */
+    private record Waiting(FullHttpRequest request, double arrived) { }
+
     FrontHandler(Front front, Node node, RequestReader reader, Clock clock, Log log, Arrivals arrivals, double opened) {
         this.front = front;
         this.node = node;
@@ -72,10 +87,14 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                if (overrun || state == State.ENDING) {
+                    dropped((ByteBuf) bytes);
+                    return;
+                }
                 // What came before a connection was accepted is read in the turn after that.
                 arrived = arrivals.turn() <= openedIn + 1 ? opened : arrivals.since();
-                if (!busy && !ending) {
-                    received = true;
+                received = true;
+                if (state == State.RESTING) {
                     front.receives(FrontHandler.this);
                 }
                 ctx.fireChannelRead(bytes);
@@ -83,6 +102,14 @@
         };
     }
 
+    private void dropped(ByteBuf bytes) {
+        droppedBytes += bytes.readableBytes();
+        bytes.release();
+        if (state == State.BUSY && droppedBytes > MOST_DROPPED) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
     /** True once a job or a call-back that belongs to one has come: this is no stranger. */
     boolean proven() {
         return proven;
@@ -96,50 +123,47 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (ending || !ctx.channel().isActive() || !(message instanceof FullHttpRequest request)) {
+        if (state == State.ENDING || !ctx.channel().isActive() || !(message instanceof FullHttpRequest request)) {
             ReferenceCountUtil.release(message);
-        } else if (!busy) {
-            begin(request);
+        } else if (state == State.RESTING) {
+            begin(request, arrived);
+        } else if (!overrun && waiting.size() < MOST_WAITING && front.holds(request.content().readableBytes())) {
+            received = false;
+            waiting.add(new Waiting(request, arrived));
         } else {
-            // Nothing more is read until its turn comes, so that what waits is bounded by one read.
-            ctx.channel().config().setAutoRead(false);
-            if (waiting.size() < MOST_WAITING) {
-                waiting.add(request);
-            } else {
-                overrun = true;
-                request.release();
-            }
+            overrun = true;
+            request.release();
         }
     }
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event != BodyAggregator.TOO_LARGE || ending) {
+        if (event != BodyAggregator.TOO_LARGE || state == State.ENDING) {
             ctx.fireUserEventTriggered(event);
-        } else if (busy) {
+        } else if (state == State.BUSY) {
             overrun = true;
         } else {
-            busy = true;
+            state = State.BUSY;
             front.busy(this);
             error(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "a body holds at most " + Front.MOST_BODY + " bytes");
         }
     }
 
-    private void begin(FullHttpRequest request) {
-        busy = true;
+    private void begin(FullHttpRequest request, double since) {
+        state = State.BUSY;
         received = false;
         front.busy(this);
         try {
-            handle(request);
+            handle(request, since);
         } catch (BadRequestException bad) {
-            log.line("bad request from " + context.channel().remoteAddress() + ": " + bad.getMessage());
+            log.line("bad request", "bad request from " + context.channel().remoteAddress() + ": " + bad.getMessage());
             error(HttpResponseStatus.BAD_REQUEST, bad.getMessage());
         } finally {
             request.release();
         }
     }
 
-    private void handle(FullHttpRequest request) throws BadRequestException {
+    private void handle(FullHttpRequest request, double since) throws BadRequestException {
         keepAlive = HttpUtil.isKeepAlive(request);
         if (request.decoderResult().isFailure()) {
             throw new BadRequestException("not a request in HTTP");
@@ -154,7 +178,7 @@
             String body = request.content().toString(StandardCharsets.UTF_8);
             news(NewsReader.read(body), body);
         } else {
-            job(request);
+            job(request, since);
         }
     }
 
@@ -178,8 +202,8 @@
         answer(HttpResponseStatus.NO_CONTENT, "");
     }
 
-    private void job(FullHttpRequest request) throws BadRequestException {
-        Job job = reader.job(request, arrived);
+    private void job(FullHttpRequest request, double since) throws BadRequestException {
+        Job job = reader.job(request, since);
         if (front.finishing()) {
             node.refuse(job, new HttpReply(), 0);
             return;
@@ -227,48 +251,59 @@
             } else if (keep) {
                 next();
             } else {
-                end();
+                shut();
             }
         });
     }
 
     private void next() {
-        busy = false;
-        if (waiting.isEmpty()) {
+        state = State.RESTING;
+        Waiting first = waiting.poll();
+        if (first == null && received) {
+            front.owes(this);
+        } else if (first == null) {
             front.idle(this);
-            context.channel().config().setAutoRead(true);
         } else {
-            arrived = clock.now();
-            begin(waiting.poll());
+            front.held(first.request.content().readableBytes());
+            begin(first.request, first.arrived);
         }
     }
 
     /**
-     * Ends the connection behind its last answer. Closed with bytes unread it would be reset, and the answer be
-     * lost on its way to a client that still sends: so its own direction ends first, and what still comes is
-     * dropped until the client ends the other one, or the front's patience does.
+     * Ends the connection behind its last answer, or while it rests. Closed with bytes unread it would be reset, and
+     * an answer be lost on its way to a client that still sends: so its own direction ends first, and what still
+     * comes is dropped until the client ends the other one, or the front's patience does.
      */
-    private void end() {
-        ending = true;
-        busy = false;
+    void shut() {
+        if (state == State.ENDING) {
+            return;
+        }
+        state = State.ENDING;
         drop();
         front.owes(this);
         ((DuplexChannel) context.channel()).shutdownOutput();
         context.channel().config().setAutoRead(true);
     }
 
+    /** True while nothing of a request has come that has no answer yet. */
+    boolean resting() {
+        return state == State.RESTING && !received;
+    }
+
     /** What the connection owes has not come in time. */
     void late() {
-        if (ending || !received) {
+        if (state == State.ENDING) {
             context.close();
-        } else {
-            busy = true;
+        } else if (received) {
+            state = State.BUSY;
             front.busy(this);
             error(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come whole");
+        } else {
+            shut();
         }
     }
 
-    /** Ends a connection that has nothing in work. */
+    /** Ends a connection that has nothing in work, for its room. */
     void close() {
         context.close();
     }
@@ -285,7 +320,10 @@
     }
 
     private void drop() {
-        waiting.forEach(ReferenceCountUtil::release);
+        waiting.forEach(each -> {
+            front.held(each.request.content().readableBytes());
+            each.request.release();
+        });
         waiting.clear();
     }
 
--- a/node/src/main/java/ferngrade/net/NewsReader.java
+++ b/node/src/main/java/ferngrade/net/NewsReader.java
@@ -36,12 +36,14 @@
         return value.asString();
     }
 
+    /** A report that cannot be read costs only itself: what the call-back tells of the job still counts. */
     private static Report load(JsonValue load) {
-        if (load == null || load.isNull()) {
-            return Report.NONE;
-        }
-        JsonObject fields = load.asObject();
-        return new Report(fields.getDouble("x0", Double.NaN), fields.getDouble("x1", Double.NaN),
-                fields.getDouble("queue", Double.NaN), fields.getDouble("inflight", Double.NaN));
+        return load == null || !load.isObject() ? Report.NONE : new Report(figure(load, "x0"), figure(load, "x1"),
+                figure(load, "queue"), figure(load, "inflight"));
+    }
+
+    private static double figure(JsonValue load, String field) {
+        JsonValue value = load.asObject().get(field);
+        return value == null || !value.isNumber() ? Double.NaN : value.asDouble();
     }
 }
--- a/node/src/main/java/ferngrade/net/NodeServer.java
+++ b/node/src/main/java/ferngrade/net/NodeServer.java
@@ -4,7 +4,6 @@
 import ferngrade.Dispatcher;
 import ferngrade.Dispatcher.Actions;
 import ferngrade.Dispatcher.JobClass;
-import ferngrade.Dispatcher.News;
 import ferngrade.config.MaintenanceCodec;
 import ferngrade.config.MemberReader;
 import ferngrade.config.NodeConfig;
@@ -26,6 +25,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 
 /** A node on sockets: puts the parts together on one event loop, and takes them down in order. */
@@ -145,7 +145,7 @@
         StateFile state = platform.state() == null ? null : new StateFile(platform.state().resolve(MAINTENANCE_FILE));
         restore(node, state);
         if (config.known() != null) {
-            node.members(News.STORED, config.known().members());
+            node.stored(config.known().members());
         }
         List<ChannelFuture> bound = new ArrayList<>();
         if (config.peerListen() != null) {
@@ -218,7 +218,7 @@
      * start on. Jobs in work, the last worker list and all that was learned stay. Any thread may call this.
      */
     public void reload(NodeConfig changed) {
-        loop.execute(() -> {
+        later(() -> {
             reloadsOk++;
             log.line("configuration read anew, discovery is at " + changed.discovery());
             if (!changed.settings().equals(config.settings())) {
@@ -230,12 +230,21 @@
 
     /** Writes a line to the node's log, from any thread. */
     public void report(String line) {
-        loop.execute(() -> log.line(line));
+        later(() -> log.line(line));
+    }
+
+    /** Runs this on the loop, unless that has ended: a signal may come while the process does. */
+    private void later(Runnable task) {
+        try {
+            loop.execute(task);
+        } catch (RejectedExecutionException ended) {
+            // There is no node left that the signal could be about.
+        }
     }
 
     /** Counts a configuration that could not be used, and says why in the log; from any thread. */
     public void reloadFailed(String line) {
-        loop.execute(() -> {
+        later(() -> {
             reloadsFailed++;
             log.line(line);
         });
--- a/node/src/main/java/ferngrade/net/UdpPeers.java
+++ b/node/src/main/java/ferngrade/net/UdpPeers.java
@@ -49,8 +49,10 @@
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
                         Integer from = numbers.get(packet.sender());
-                        if (from == null || packet.content().readableBytes() > LONGEST) {
-                            log.line("datagram from no peer: " + packet.sender());
+                        if (from == null) {
+                            log.line("stranger", "datagram from no peer: " + packet.sender());
+                        } else if (packet.content().readableBytes() > LONGEST) {
+                            log.line("long datagram", "datagram of more than " + LONGEST + " bytes from " + packet.sender());
                         } else {
                             hearer.accept(from, ByteBufUtil.getBytes(packet.content()));
                         }
@@ -58,7 +60,7 @@
 
                     @Override
                     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                        log.line("peers: " + cause.getMessage());
+                        log.line("peers", "peers: " + cause.getMessage());
                     }
                 }).bind(address);
         channel = bound.channel();
@@ -69,7 +71,7 @@
     public void tell(int peer, byte[] message) {
         InetSocketAddress to = peer < 0 ? all : peer < addresses.size() ? addresses.get(peer) : null;
         if (channel == null || to == null || message.length > LONGEST) {
-            log.line("message for peer " + peer + " cannot be sent");
+            log.line("message", "message for peer " + peer + " cannot be sent");
             return;
         }
         channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message), to));
--- a/node/src/main/java/ferngrade/net/WorkerClient.java
+++ b/node/src/main/java/ferngrade/net/WorkerClient.java
@@ -18,10 +18,8 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
@@ -53,8 +51,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(),
-                                new HttpObjectAggregator(Front.MOST_BODY), new WorkerConnection(pool));
+                        new WorkerConnection(pool).addTo(channel.pipeline());
                     }
                 });
     }
@@ -77,8 +74,14 @@
         WorkerConnection idle = pool.take(worker);
         if (idle != null) {
             idle.begin(transfer);
-        } else if (!pool.reserve()) {
-            log.line("no connection left for " + worker);
+        } else {
+            dial(worker, transfer);
+        }
+    }
+
+    private void dial(InetSocketAddress worker, Transfer transfer) {
+        if (!pool.reserve()) {
+            log.line("no connection", "no connection left for " + worker);
             transfer.notConnected(Outcome.NEVER_SENT);
         } else {
             bootstrap.connect(worker).addListener((ChannelFuture connected) -> {
@@ -88,7 +91,7 @@
                     fresh.begin(transfer);
                 } else {
                     pool.unreserve();
-                    log.line("worker cannot be reached: " + connected.cause().getMessage());
+                    log.line("unreachable", "worker cannot be reached: " + connected.cause().getMessage());
                     transfer.notConnected(Outcome.CONNECT_FAILED);
                 }
             });
@@ -127,9 +130,7 @@
         private final double until;
         private final Listener listener;
         private WorkerConnection carrier;
-        private boolean written;
-        private boolean taken;
-        private boolean givenUp;
+        private Stage stage = Stage.DIALLED;
 
         JobTransfer(Call call, InetSocketAddress worker, double until, Listener listener) {
             this.call = call;
@@ -140,11 +141,11 @@
 
         @Override
         FullHttpRequest request() {
-            if (givenUp) {
+            if (stage == Stage.OVER) {
                 return null;
             }
             if (!listener.mayStart()) {
-                listener.ended(Outcome.NEVER_SENT, Report.NONE);
+                end(Outcome.NEVER_SENT, Report.NONE);
                 return null;
             }
             FullHttpRequest request = WorkerClient.request(HttpMethod.valueOf(call.method()), call.target(),
@@ -161,28 +162,34 @@
         @Override
         void carriedBy(WorkerConnection connection) {
             carrier = connection;
+            stage = Stage.WRITING;
         }
 
         @Override
         void written() {
-            written = true;
-            listener.written();
+            if (stage == Stage.WRITING) {
+                stage = Stage.WRITTEN;
+                listener.written();
+            }
         }
 
         @Override
         void answered(FullHttpResponse response) {
             carrier = null;
+            if (stage == Stage.OVER) {
+                return;
+            }
             Report report = LoadReport.parse(response.headers().get(Headers.LOAD));
             int status = response.status().code();
             if (status == 202) {
-                taken = true;
+                stage = Stage.TAKEN;
                 listener.taken();
             } else if ((status == 503 || status == 504) && "1".equals(response.headers().get(Headers.DECLINED))) {
-                listener.ended(Outcome.FULL, report);
+                end(Outcome.FULL, report);
             } else {
-                log.line("worker " + worker + " answered " + status + " to job " + call.id());
+                log.line("worker's answer", "worker " + worker + " answered " + status + " to job " + call.id());
                 boolean unusable = HttpStatusClass.valueOf(status) == HttpStatusClass.CLIENT_ERROR;
-                listener.ended(unusable ? Outcome.UNUSABLE : Outcome.ERROR, report);
+                end(unusable ? Outcome.UNUSABLE : Outcome.ERROR, report);
             }
         }
 
@@ -190,38 +197,57 @@
         void broken() {
             carrier = null;
             // Before the last byte the worker cannot have begun; from then on nobody knows.
-            listener.ended(written ? Outcome.RESET : Outcome.CONNECT_FAILED, Report.NONE);
+            end(stage == Stage.WRITTEN ? Outcome.RESET : Outcome.CONNECT_FAILED, Report.NONE);
         }
 
         @Override
         void notConnected(Outcome outcome) {
-            listener.ended(outcome, Report.NONE);
+            end(outcome, Report.NONE);
         }
 
-        @Override
-        public void giveUp() {
-            if (givenUp) {
-                return;
+        private void end(Outcome outcome, Report report) {
+            if (stage != Stage.OVER) {
+                stage = Stage.OVER;
+                listener.ended(outcome, report);
             }
-            givenUp = true;
-            if (taken) {
-                start(worker, new Cancellation(worker, call.id()));
-            } else if (carrier != null) {
-                // Closing before the 202 gives the attempt up; the connection's answer is of no use to others.
+        }
+
+        /** Closing before the 202 gives an attempt up, but that 202 may be under way already: hence the DELETE. */
+        @Override
+        public void giveUp(Runnable told) {
+            boolean mayRun = stage == Stage.WRITTEN || stage == Stage.TAKEN;
+            stage = Stage.OVER;
+            if (carrier != null) {
                 carrier.close();
             }
+            if (mayRun) {
+                start(worker, new Cancellation(worker, call.id(), told));
+            } else {
+                told.run();
+            }
         }
     }
 
-    /** Tells a worker that nobody waits for a job any more; nothing depends on its answer. */
+    /** How far an attempt has come. Each step is taken once; what ends it is heard of once. */
+    private enum Stage { DIALLED, WRITING, WRITTEN, TAKEN, OVER }
+
+    /**
+     * Tells a worker that nobody waits for a job any more. Nothing depends on its answer; {@code told} runs once,
+     * when the word is written or cannot be.
+     */
     private final class Cancellation extends Transfer {
         private final InetSocketAddress worker;
         private final String id;
+        private final Runnable told;
+        private WorkerConnection carrier;
         private Timers.Timer patience;
+        private boolean again = true;
+        private boolean said;
 
-        Cancellation(InetSocketAddress worker, String id) {
+        Cancellation(InetSocketAddress worker, String id, Runnable told) {
             this.worker = worker;
             this.id = id;
+            this.told = told;
         }
 
         @Override
@@ -231,21 +257,43 @@
 
         @Override
         void carriedBy(WorkerConnection connection) {
+            carrier = connection;
             patience = timers.after(CANCEL_PATIENCE, connection::close);
         }
 
+        @Override
+        void written() {
+            say();
+        }
+
         @Override
         void answered(FullHttpResponse response) {
             patience.cancel();
         }
 
+        /** An idle connection may have been closed under the word; it harms nobody said twice. */
         @Override
         void broken() {
             patience.cancel();
+            if (again && carrier.reusedAfter >= 0) {
+                again = false;
+                dial(worker, this);
+            } else {
+                say();
+            }
         }
 
         @Override
-        void notConnected(Outcome outcome) { }
+        void notConnected(Outcome outcome) {
+            say();
+        }
+
+        private void say() {
+            if (!said) {
+                said = true;
+                told.run();
+            }
+        }
     }
 
     /** A health check. */
--- a/node/src/main/java/ferngrade/net/WorkerConnection.java
+++ b/node/src/main/java/ferngrade/net/WorkerConnection.java
@@ -2,17 +2,31 @@
 
 import ferngrade.net.WorkerClient.Transfer;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 
-/** One connection to a worker: at most one transfer at a time, idle in the pool between them. */
+/**
+ * One connection to a worker: at most one transfer at a time, idle in the pool between them. Bytes that come while
+ * it is idle belong to no transfer; kept, they would be read as the beginning of the next one's answer. So they
+ * end the connection, and so does anything behind an answer.
+ */
 final class WorkerConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final ConnectionPool pool;
+    private final AnswerDecoder decoder = new AnswerDecoder();
     private ChannelHandlerContext context;
     private InetSocketAddress worker;
+    /** What the connection carries, null while it is idle. */
     private Transfer transfer;
     /** When the connection was put back into the pool. */
     double idleSince;
@@ -20,10 +34,36 @@
     double reusedAfter = -1;
     private boolean endedHere;
 
+    /** Knows whether more has come than the answer that it has just passed on. */
+    private static final class AnswerDecoder extends HttpResponseDecoder {
+        boolean hasMore() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
     WorkerConnection(ConnectionPool pool) {
         this.pool = pool;
     }
 
+    /** Puts the connection, behind its codec, at the end of a pipeline. */
+    void addTo(ChannelPipeline pipeline) {
+        pipeline.addLast(idleGuard(), new HttpRequestEncoder(), decoder, new HttpObjectAggregator(Front.MOST_BODY), this);
+    }
+
+    private ChannelInboundHandler idleGuard() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                if (transfer == null) {
+                    ReferenceCountUtil.release(bytes);
+                    close();
+                } else {
+                    ctx.fireChannelRead(bytes);
+                }
+            }
+        };
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
@@ -62,14 +102,16 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-        Transfer answered = transfer;
-        transfer = null;
-        if (answered == null || response.decoderResult().isFailure()) {
-            transfer = answered;
+        if (transfer == null || response.decoderResult().isFailure()) {
             close();
             return;
         }
-        boolean keep = HttpUtil.isKeepAlive(response);
+        if (HttpStatusClass.valueOf(response.status().code()) == HttpStatusClass.INFORMATIONAL) {
+            return;
+        }
+        Transfer answered = transfer;
+        transfer = null;
+        boolean keep = HttpUtil.isKeepAlive(response) && !decoder.hasMore();
         answered.answered(response);
         if (keep) {
             pool.release(this);
@@ -93,6 +135,7 @@
         return endedHere;
     }
 
+    /** The one place where a connection ends, from whichever side. */
     private void ended() {
         pool.ended(this);
         Transfer broken = transfer;
--- a/node/src/main/java/ferngrade/node/Attempt.java
+++ b/node/src/main/java/ferngrade/node/Attempt.java
@@ -1,5 +1,7 @@
 package ferngrade.node;
 
+import ferngrade.Dispatcher.Outcome;
+
 /** One sending of a request to a worker. */
 final class Attempt {
     final Exchange exchange;
@@ -15,6 +17,8 @@
     boolean ended;
     /** The worker has told of it by a call-back. */
     boolean calledBack;
+    /** It ended without the worker's word, so that the worker may run it yet. */
+    private boolean doubtful;
 
     Attempt(Exchange exchange, long worker, Member member, double sentAt) {
         this.exchange = exchange;
@@ -24,14 +28,25 @@
         this.sentAt = sentAt;
     }
 
-    /** Calls off the timers: the attempt has ended. */
-    void stopTimers() {
+    /** The attempt has ended; nothing that was to end it runs any more. */
+    void ended(Outcome outcome) {
+        ended = true;
+        doubtful = written && (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED || outcome == Outcome.RESET);
         if (timeout != null) {
             timeout.cancel();
             acceptance.cancel();
         }
     }
 
+    /**
+     * True while the worker must not get the request (again): the attempt is out there, or may be, or the worker
+     * has called back about it. A repeat of that call-back could not be told from news of a new attempt, and would
+     * end it.
+     */
+    boolean bars() {
+        return !ended || calledBack || doubtful;
+    }
+
     /** Written and not ended: what a call-back can be about. */
     boolean running() {
         return written && !ended;
--- a/node/src/main/java/ferngrade/node/Exchange.java
+++ b/node/src/main/java/ferngrade/node/Exchange.java
@@ -73,11 +73,8 @@
         return null;
     }
 
-    /**
-     * True if the worker must not get the request (again): it has an attempt out, or has called back about
-     * an ended one. A repeat of that call-back could not be told from news of a new attempt, and would end it.
-     */
+    /** True if the worker must not get the request (again). */
     boolean barred(long worker) {
-        return attempts.stream().anyMatch(each -> each.worker == worker && (!each.ended || each.calledBack));
+        return attempts.stream().anyMatch(each -> each.worker == worker && each.bars());
     }
 }
--- a/node/src/main/java/ferngrade/node/Node.java
+++ b/node/src/main/java/ferngrade/node/Node.java
@@ -45,6 +45,8 @@
     private final RecentIds finished;
     private final Maintenance maintenance = new Maintenance();
     private final Figures figures = new Figures();
+    /** The list of an earlier process while nothing has been told; null from then on. */
+    private List<Member> stored;
     private long bytes;
     private List<Runnable> ready = new ArrayList<>();
     private List<Runnable> asked = new ArrayList<>();
@@ -169,9 +171,18 @@
 
     /** News of the worker list. */
     public void members(Dispatcher.News news, List<Member> entries) {
+        stored = null;
         tell(news, maintenance.over(news, entries));
     }
 
+    /**
+     * The worker list as an earlier process had it. It may be old, and what the source of the list holds counts as
+     * told from this process's first moment: so it counts only once the source could not be heard.
+     */
+    public void stored(List<Member> entries) {
+        stored = entries;
+    }
+
     private void tell(Dispatcher.News news, List<Member> entries) {
         // Known at once, not with the next batch: the drain rule counts from the telling.
         members.update(news, entries);
@@ -225,6 +236,9 @@
 
     /** The worker list could not be had; the last one stays. */
     public void listFailed() {
+        if (stored != null) {
+            members(Dispatcher.News.STORED, stored);
+        }
         offer(() -> module.listFailed(clock.now()));
     }
 
@@ -259,7 +273,7 @@
             step.run();
         } catch (RuntimeException broken) {
             StackTraceElement[] trace = broken.getStackTrace();
-            log.line("module failed: " + broken + (trace.length > 0 ? " at " + trace[0] : ""));
+            log.line("module failed", "module failed: " + broken + (trace.length > 0 ? " at " + trace[0] : ""));
         }
     }
 
@@ -285,8 +299,7 @@
         if (attempt.ended) {
             return;
         }
-        attempt.ended = true;
-        attempt.stopTimers();
+        attempt.ended(outcome);
         Exchange exchange = attempt.exchange;
         exchange.out--;
         double now = clock.now();
@@ -316,11 +329,7 @@
         }
         double patience = timeout > 0 ? Math.min(timeout, left) : left;
         attempt.timeout = timers.after(patience, () -> giveUp(attempt, Outcome.TIMEOUT, Outcome.CONNECT_FAILED));
-        attempt.acceptance = timers.after(ACCEPTANCE, () -> {
-            if (!attempt.calledBack) {
-                giveUp(attempt, Outcome.TIMEOUT, Outcome.CONNECT_FAILED);
-            }
-        });
+        attempt.acceptance = timers.after(ACCEPTANCE, () -> notAccepted(attempt));
         attempt.sending = workers.send(exchange.call, member.address(), patience, new Listener(attempt));
     }
 
@@ -335,13 +344,24 @@
         if (!attempt.ended && attempt.sending != null) {
             offer(() -> {
                 if (!attempt.ended) {
-                    attempt.sending.giveUp();
+                    attempt.sending.giveUp(() -> { });
                     end(attempt, attempt.written ? ifWritten : ifNot, Report.NONE);
                 }
             });
         }
     }
 
+    /**
+     * The worker has not taken the job, and its client still waits: another attempt may follow. That must not
+     * overtake the word to this worker, whose 202 may be under way.
+     */
+    private void notAccepted(Attempt attempt) {
+        if (!attempt.ended && !attempt.calledBack) {
+            attempt.sending.giveUp(() -> offer(() ->
+                    end(attempt, attempt.written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, Report.NONE)));
+        }
+    }
+
     private void check(long worker) {
         Member member = members.get(worker);
         if (member != null) {
--- a/node/src/main/java/ferngrade/node/Workers.java
+++ b/node/src/main/java/ferngrade/node/Workers.java
@@ -18,8 +18,11 @@
 
     /** One call on its way. */
     interface Sending {
-        /** Gives the attempt up, wherever it is; the listener hears no more of it. */
-        void giveUp();
+        /**
+         * Gives the attempt up, wherever it is; the listener hears no more of it. {@code told} runs once, when the
+         * worker has been told so or cannot be; at once if it cannot have begun.
+         */
+        void giveUp(Runnable told);
     }
 
     /** Hears of one call on its way. */
