Force each crossing's bad order with real peers, and leave repeats room for their dial

CrossingsTest holds fifteen stories on loopback sockets: the peers and a clock that stands still force the order. Settings: an idempotency window is shorter by the connect timeout, since a repeat decided at its end would be dialled for up to that long and begin after it (NodeConfigTest); a figure that is not finite is an error that names its path.

--- a/node/src/main/java/ferngrade/config/NodeConfig.java
+++ b/node/src/main/java/ferngrade/config/NodeConfig.java
@@ -78,8 +78,9 @@
         }
         mapping.put(nested.asObject());
         Settings settings;
+        double connectTimeout = number(mapping, "Ceilings.ConnectTimeout", 1000);
         try {
-            settings = mapping.build();
+            settings = mapping.build(connectTimeout);
         } catch (IllegalArgumentException invalid) {
             throw new ConfigException("settings:", invalid.getMessage());
         }
@@ -93,7 +94,7 @@
         }
         return new NodeConfig(text(json, "name"), required(json, "listen"), required(json, "discovery"),
                 seed(json), limit(json, "sockets", 64, 1024), limit(json, "memory_mb", 16, 192), optional(json, "peer_listen"), peers, optional(json, "peers_all"),
-                known(json, reader), settings, reader, number(mapping, "Ceilings.ConnectTimeout", 1000),
+                known(json, reader), settings, reader, connectTimeout,
                 number(mapping, "Ceilings.ConnIdle", 60000), (int) number(mapping, "Ceilings.OpenCap", 20000),
                 optional(json, "admin"));
     }
--- a/node/src/main/java/ferngrade/config/SettingsMapping.java
+++ b/node/src/main/java/ferngrade/config/SettingsMapping.java
@@ -89,6 +89,14 @@
 
     /** The settings as far as they were taken in. */
     public Settings build() {
+        return build(0);
+    }
+
+    /**
+     * The same where an attempt may be under way for {@code transit} ms before its last byte is written: the
+     * idempotency windows count from then on, and so are shorter by that for whoever decides on a repeat.
+     */
+    public Settings build(double transit) {
         boolean peers = flag("Ceilings.PeerMessages");
         double retryAfter = flag("Ceilings.RetryAfter") ? number("Ceilings.MaxRetryAfter", 0) : 0;
         Limits limits = new Limits((int) number("Ceilings.MostTries", 1), flag("Ceilings.SecondCopies"),
@@ -96,13 +104,13 @@
         ColdRule cold = new ColdRule(number("Rules.StartCapacity", 1), number("Rules.Cold", 0),
                 number("Rules.FallMultiple", 1), number("Rules.TipAfter", 1000));
         return new Settings((int) number("Me", 0), (int) number("Balancers", 1), (int) number("Locality", 0),
-                number("Round", 0), classes(), tenants(), limits, cold, "ask".equals(values.get("Discovery")),
+                number("Round", 0), classes(transit), tenants(), limits, cold, "ask".equals(values.get("Discovery")),
                 flag("Extra.TellsStart"), "live".equals(values.get("WeightKind")),
                 number("Charges.CrossZone", 0),
                 new Goal(number("ResultMix.Whole", 0), number("ResultMix.WorstClass", 0)));
     }
 
-    private List<JobClass> classes() {
+    private List<JobClass> classes(double transit) {
         String[] kinds = values.getOrDefault("Extra.ClassKind", "").split(",");
         String[] priorities = values.getOrDefault("Extra.ClassPriority", "").split(",");
         String[] stretches = values.getOrDefault("Extra.ClassStretch", "").split(",");
@@ -112,7 +120,7 @@
             String at = "Classes." + i + ".";
             classes.add(new JobClass(values.getOrDefault(at + "Name", ""),
                     effect(at + "Effect"), scope(at + "KeyScope"),
-                    number(at + "Window", 0), number(at + "GoalTime", 1000),
+                    Math.max(0, number(at + "Window", 0) - transit), number(at + "GoalTime", 1000),
                     item("Extra.ClassStretch", stretches, i, number(at + "AimStretch", 0)),
                     number(at + "Deadline", 1000), number(at + "Worth", 1), number(at + "LateWorth", 0),
                     (int) item("Extra.ClassKind", kinds, i, -1),
@@ -159,10 +167,14 @@
 
     private static double parse(String path, String value) {
         try {
-            return Double.parseDouble(value);
+            double number = Double.parseDouble(value);
+            if (Double.isFinite(number)) {
+                return number;
+            }
         } catch (NumberFormatException notANumber) {
-            throw new IllegalArgumentException("setting " + path + " is not a number: " + value);
+            // Said below, as for a figure without end.
         }
+        throw new IllegalArgumentException("setting " + path + " is not a number: " + value);
     }
 
     private boolean flag(String path) {
--- a/node/src/test/java/ferngrade/config/NodeConfigTest.java
+++ b/node/src/test/java/ferngrade/config/NodeConfigTest.java
@@ -68,6 +68,10 @@
             {"limits", "{\"memory_mb\":\"x\"}", "limits.memory_mb must be a number of 16 or more: \"x\""},
             {"settings", "[]", "settings is missing or not an object"},
             {"settings", "{\"Me\":\"x\"}", "settings: setting Me is not a number: x"},
+            {"settings", "{\"Classes\":[{\"Name\":\"x\",\"Deadline\":1e999}]}",
+                "settings: setting Classes.0.Deadline is not a number: 1e999"},
+            {"settings", "{\"Classes\":[{\"Name\":\"x\",\"Effect\":\"sometimes\"}]}",
+                "settings: Classes.0.Effect is unknown: sometimes"},
             {"settings", "{}", "settings: Settings.classes is out of range: []"},
         };
     }
@@ -97,6 +101,16 @@
         }
     }
 
+    /** A further attempt may be dialled for as long as that: decided at the window's end, it would come too late. */
+    @Test
+    public void idempotencyWindowsLeaveRoomForTheDialOfARepeat() throws Exception {
+        JsonObject json = Json.parse(GOOD).asObject().set("settings", Json.parse("{\"Ceilings\":{\"ConnectTimeout\":250},"
+                + "\"Classes\":[{\"Name\":\"x\",\"Effect\":\"deduplicated\",\"Window\":1800},"
+                + "{\"Name\":\"y\",\"Effect\":\"deduplicated\",\"Window\":100}]}"));
+        assertEquals(NodeConfig.read(json).settings().classes().get(0).window(), 1550.0);
+        assertEquals(NodeConfig.read(json).settings().classes().get(1).window(), 0.0);
+    }
+
     @Test
     public void missingEnvironmentIsNamed() {
         ConfigException unset = expectThrows(ConfigException.class, () -> NodeConfig.fromEnvironment(Map.of()));
--- a/node/src/test/java/ferngrade/net/CrossingsTest.java
+++ b/node/src/test/java/ferngrade/net/CrossingsTest.java
@@ -1,12 +1,23 @@
 package ferngrade.net;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 
 import ferngrade.net.RawHttp.Message;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Stream;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -15,6 +26,11 @@
  */
 @Test(timeOut = 30_000)
 public class CrossingsTest extends NodeStory {
+    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+    private static final String DECLINED = "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final String DONE = "\"state\":\"done\",\"result\":\"soup\"";
+    private static final String READY = "GET /-/ready HTTP/1.1\r\n\r\n";
+
     /** The queue of the worker's listener is full, so that a dial hangs until the story takes what waits there. */
     private List<Socket> fillWorkersQueue() throws Exception {
         worker.close();
@@ -49,4 +65,231 @@
             assertEquals(first.headers().get("Req-Id"), "b");
         }
     }
+
+    @Test
+    public void clientThatGoesBehindPipelinedRequestsHasNoneOfThemBegun() throws Exception {
+        start(list(1, "active"), () -> now);
+        RawHttp worked;
+        try (RawHttp gone = RawHttp.to(node.address())) {
+            gone.write(RawHttp.message(job("POST /api", "a", "order"), "") + RawHttp.message(job("POST /api", "b", "order"), ""));
+            worked = new RawHttp(worker.accept());
+            worked.read();
+            worked.write(TAKEN);
+        }
+        settled();
+        assertEquals(callBack("a", DONE), 204);
+        settled();
+        now += 100;
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api", "c", "order"), ""));
+            assertEquals(worked.read().headers().get("Req-Id"), "c");
+        }
+    }
+
+    @Test
+    public void pipelinedRequestTellsItsWorkerNoMoreTimeThanItsClientHasLeft() throws Exception {
+        start(list(1, "active"), () -> now);
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api", "a", "order"), "") + RawHttp.message(job("POST /api", "b", "order"), ""));
+            RawHttp worked = new RawHttp(worker.accept());
+            worked.read();
+            worked.write(TAKEN);
+            settled();
+            now += 3000;
+            callBack("a", DONE);
+            assertEquals(worked.read().headers().get("Req-Deadline"), "6000m");
+        }
+    }
+
+    /** What a worker leaves behind its answer, in the same write or while the connection rests. */
+    @DataProvider
+    public Object[][] leftovers() {
+        return new Object[][] {{"HTTP/1.1 5", true}, {"HTTP/1.1 5", false}, {DECLINED, true}, {DECLINED, false}};
+    }
+
+    @Test(dataProvider = "leftovers")
+    public void leftoverOnAWorkersConnectionIsNotTheNextAnswersBeginning(String leftover, boolean together) throws Exception {
+        start(list(1, "active"), () -> now);
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            RawHttp worked = new RawHttp(worker.accept());
+            worked.read();
+            worked.write(TAKEN + (together ? leftover : ""));
+            callBack("a", DONE);
+            assertEquals(client.read().status(), 200);
+            settled();
+            worked.write(together ? "" : leftover);
+            settled();
+            now += 100;
+            client.write(RawHttp.message(job("POST /api", "b", "order"), ""));
+            RawHttp fresh = new RawHttp(worker.accept());
+            assertEquals(fresh.read().headers().get("Req-Id"), "b");
+            fresh.write(TAKEN);
+            callBack("b", DONE);
+            assertEquals(client.read().status(), 200);
+        }
+    }
+
+    @Test
+    public void secondAnswerThatComesLateIsNotTheNextRequests() throws Exception {
+        start(list(1, "active"), () -> now);
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            RawHttp worked = new RawHttp(worker.accept());
+            worked.read();
+            worked.write(TAKEN);
+            callBack("a", DONE);
+            assertEquals(client.read().status(), 200);
+            settled();
+            now += 10;
+            client.write(RawHttp.message(job("POST /api", "b", "order"), ""));
+            RawHttp fresh = new RawHttp(worker.accept());
+            assertEquals(fresh.read().headers().get("Req-Id"), "b");
+            worked.write(DECLINED);
+            settled();
+            fresh.write(TAKEN);
+            callBack("b", DONE);
+            assertEquals(client.read().status(), 200);
+        }
+    }
+
+    @Test
+    public void attemptGivenUpBeforeThe202IsDeletedAndTheNextOneWaitsForThat() throws Exception {
+        try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            start(list(1, "active").replace("{\"id\":\"s-2\",\"host_port\":7,", "{\"id\":\"s-2\",\"host_port\":\"127.0.0.1:"
+                    + other.getLocalPort() + "\",\"locality\":\"z\",\"flavor\":\"k\","), () -> now);
+            try (RawHttp client = RawHttp.to(node.address())) {
+                client.write(RawHttp.message(job("POST /api", "a", "plan") + "\r\nIdempotency-Key: k", ""));
+                settled();
+                ServerSocket first = holds(worker) ? worker : other;
+                ServerSocket second = first == worker ? other : worker;
+                RawHttp hung = new RawHttp(first.accept());
+                hung.read();
+                // The timer asks the clock once a second of the machine has passed.
+                now += 1000;
+                RawHttp told = new RawHttp(first.accept());
+                assertEquals(told.read().start(), "DELETE /jobs/a HTTP/1.1");
+                assertEquals(new RawHttp(second.accept()).read().headers().get("Req-Id"), "a");
+                assertNull(hung.read());
+            }
+        }
+    }
+
+    @Test
+    public void drainToldWhileTheWorkerIsDialledSendsNothingThere() throws Exception {
+        List<Socket> filled = fillWorkersQueue();
+        start(list(1, "active"), () -> now);
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            settled();
+            watch.write(chunk(list(2, "leaving") + "\n"));
+            settled();
+            emptyWorkersQueue(filled);
+            RawHttp worked = new RawHttp(worker.accept());
+            assertEquals(client.read().status(), 503);
+            watch.write(chunk(list(3, "active") + "\n"));
+            settled();
+            now += 100;
+            client.write(RawHttp.message(job("POST /api", "b", "order"), ""));
+            assertEquals(worked.read().headers().get("Req-Id"), "b");
+        }
+    }
+
+    @Test
+    public void stopEndsOnlyWhenItsClientsHaveReadAndReadsNoRequestBehindItsShutdown() throws Exception {
+        start(list(1, "active"), () -> now);
+        AtomicBoolean read = new AtomicBoolean();
+        CompletableFuture<Boolean> stopped;
+        RawHttp worked;
+        try (RawHttp client = RawHttp.to(node.address()); RawHttp resting = RawHttp.to(node.address())) {
+            resting.write(RawHttp.message(job("POST /api", "r", "order"), ""));
+            worked = new RawHttp(worker.accept());
+            worked.read();
+            callBack("r", DONE);
+            assertEquals(resting.read().status(), 200);
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            new RawHttp(worker.accept()).read();
+            stopped = CompletableFuture.supplyAsync(() -> {
+                try {
+                    node.stop(0);
+                    return read.get();
+                } catch (InterruptedException interrupted) {
+                    throw new IllegalStateException(interrupted);
+                }
+            });
+            assertNull(resting.read());
+            resting.write(RawHttp.message(job("POST /api", "late", "order"), ""));
+            callBack("a", DONE);
+            assertNull(resting.read(), "no answer and no reset");
+            while (reachable()) {
+                Thread.onSpinWait();
+            }
+            client.write("more that nobody reads");
+            assertEquals(client.read().body(), "soup");
+            assertNull(client.read(), "an end and no reset");
+            read.set(true);
+        }
+        assertTrue(stopped.get());
+        worker.setSoTimeout(1);
+        assertThrows(SocketTimeoutException.class, worker::accept);
+    }
+
+    @Test
+    public void signalsThatComeWhileTheNodeStopsChangeNothing() throws Exception {
+        start(list(1, "active"), () -> now);
+        CompletableFuture<Void> first = CompletableFuture.runAsync(this::stop);
+        node.reload(config(discovery.getLocalPort(), null));
+        CompletableFuture<Void> second = CompletableFuture.runAsync(this::stop);
+        now += 700;
+        first.get();
+        second.get();
+        node.reload(config(discovery.getLocalPort(), null));
+        node.reloadFailed("no more");
+        node.stop(0);
+    }
+
+    @Test
+    public void newProcessActsOnTheFirstListOnly() throws Exception {
+        start(config(discovery.getLocalPort(), list(1, "active")), () -> now);
+        RawHttp told = new RawHttp(discovery.accept());
+        told.read();
+        try (RawHttp client = RawHttp.to(node.address())) {
+            assertEquals(client.write(READY).read().status(), 503);
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            assertEquals(client.read().status(), 503);
+            told.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list(2, "leaving") + "\n"));
+            awaitReadiness(client, 200);
+            client.write(RawHttp.message(job("POST /api", "b", "order"), ""));
+            assertEquals(client.read().status(), 503);
+            worker.setSoTimeout(1);
+            assertThrows(SocketTimeoutException.class, worker::accept);
+        }
+    }
+
+    @Test
+    public void callBackCountsThoughItsLoadReportCannotBeRead() throws Exception {
+        start(list(1, "active"), () -> now);
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            new RawHttp(worker.accept()).read();
+            assertEquals(callBack("a", DONE + ",\"load\":{\"x0\":\"many\",\"queue\":-1e400,\"new\":[]}"), 204);
+            assertEquals(client.read().body(), "soup");
+        }
+    }
+
+    private boolean reachable() {
+        try (Socket one = new Socket(node.address().getAddress(), node.address().getPort())) {
+            return one.isConnected();
+        } catch (IOException refused) {
+            return false;
+        }
+    }
+
+    /** True if a connection waits to be accepted there; it is put back by nobody, so this reads the system's table. */
+    private static boolean holds(ServerSocket listener) throws IOException {
+        String port = String.format(":%04X ", listener.getLocalPort());
+        try (Stream<String> connections = Files.lines(Path.of("/proc/net/tcp"))) {
+            return connections.anyMatch(line -> line.matches("\\s*\\d+: \\S+" + port + "\\S+ 0[18] .*"));
+        }
+    }
 }
--- a/node/src/test/java/ferngrade/net/NodeStory.java
+++ b/node/src/test/java/ferngrade/net/NodeStory.java
@@ -31,7 +31,7 @@
         discovery.setSoTimeout(10_000);
     }
 
-    @AfterMethod(alwaysRun = true)
+    @AfterMethod(alwaysRun = true, timeOut = 10_000)
     public void end() throws Exception {
         worker.close();
         discovery.close();
