Test what a watch and an attempt may meet: older, indented, broken and late lists, resets

DiscoveryWatchTest: a list indented and sent by the byte, an older list after a newer one, a refusal's body, bytes behind an answer's end, a whole list that leaves a member out, and the six seconds of a silence with a hung dial in between. NodeTest: no second attempt where the first may still run; a copy still dialled begins no more once the first is served.

--- a/node/src/test/java/ferngrade/net/DiscoveryWatchTest.java
+++ b/node/src/test/java/ferngrade/net/DiscoveryWatchTest.java
@@ -1,6 +1,7 @@
 package ferngrade.net;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
@@ -148,6 +149,99 @@
         }
     }
 
+    @Test(timeOut = 30_000)
+    public void listIndentedOverLinesAndSentByTheByteIsTheSameList() throws Exception {
+        try (RawHttp watch = accept(WHOLE)) {
+            watch.write(HEAD);
+            String list = "{\n  \"revision\": 41,\n  \"complete\": true,\n  \"members\": [\n    {\"id\": \"s-{\\\"[\","
+                    + "\n     \"host_port\": \"127.0.0.1:9\", \"phase\": \"active\"}\n  ]\n}\n\n";
+            for (int i = 0; i < list.length(); i++) {
+                watch.write(chunk(list.substring(i, i + 1)));
+            }
+            awaitReady(true);
+            watch.write(list(42, false, "s-{\\\"[", "left"));
+            awaitReady(false);
+        }
+    }
+
+    @Test(timeOut = 30_000)
+    public void olderListAfterANewerOneDoesNotBringBackWhoHasLeftUntilTheWholeListSaysSo() throws Exception {
+        try (RawHttp watch = accept(WHOLE)) {
+            watch.write(HEAD + list(41, true, "s-1", "active"));
+            awaitReady(true);
+            watch.write(list(43, false, "s-1", "left"));
+            awaitReady(false);
+            watch.write(list(42, true, "s-1", "active"));
+            assertNull(watch.read());
+        }
+        assertFalse(loop.submit(node::ready).get());
+        passAfterEnd(900);
+        try (RawHttp again = accept(WHOLE)) {
+            again.write(HEAD + list(7, true, "s-2", "active"));
+            awaitReady(true);
+        }
+        passAfterEnd(900);
+        accept("GET /api/targets?watch=1&from=7 HTTP/1.1").close();
+    }
+
+    @Test(timeOut = 30_000)
+    public void bodyOfARefusalAndWhatComesBehindTheEndOfAnAnswerAreNoLists() throws Exception {
+        try (RawHttp refused = accept(WHOLE)) {
+            refused.write("HTTP/1.1 503 Service Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + list(41, true, "s-1", "active"));
+            assertNull(refused.read());
+        }
+        assertFalse(loop.submit(node::ready).get());
+        passAfterEnd(900);
+        try (RawHttp ended = accept(WHOLE)) {
+            ended.write(HEAD + "0\r\n\r\n" + HEAD + list(41, true, "s-1", "active"));
+            assertNull(ended.read());
+        }
+        assertFalse(loop.submit(node::ready).get());
+    }
+
+    @Test(timeOut = 30_000)
+    public void wholeListThatLeavesAMemberOutHasItGoneAtOnce() throws Exception {
+        try (RawHttp watch = accept(WHOLE)) {
+            watch.write(HEAD + list(41, true, "s-1", "active"));
+            awaitReady(true);
+            watch.write(chunk("{\"revision\":42,\"complete\":true,\"members\":[]}\n"));
+            awaitReady(false);
+        }
+    }
+
+    /** From the last sign of life on, with a dial that hangs and an answer that does not begin in between. */
+    @Test(timeOut = 30_000)
+    public void changeThatASilentWatchMissesIsHeardWithinSixSecondsOfTheSilence() throws Exception {
+        try (RawHttp first = accept(WHOLE)) {
+            first.write(HEAD + list(41, true, "s-1", "active"));
+            awaitReady(true);
+            now = 2_500;
+            loop.submit(timers::run).get();
+            assertNull(first.read());
+        }
+        double began = now;
+        passAfterEnd(100);
+        // The dial's own limit runs on the machine's clock, a second; the rest on the story's.
+        try (RawHttp mute = accept("GET /api/targets?watch=1&from=41 HTTP/1.1")) {
+            double until = now + 1_000;
+            while (loop.submit(() -> {
+                now = Math.min(until, now + 50);
+                timers.run();
+                return now;
+            }).get() < until) {
+                Thread.onSpinWait();
+            }
+            assertNull(mute.read());
+        }
+        passAfterEnd(200);
+        try (RawHttp again = accept("GET /api/targets?watch=1&from=41 HTTP/1.1")) {
+            assertTrue(now - began + 2_500 + 1_000 + 400 <= 6_000, "with a dial of a second and its pause: " + now);
+            again.write(HEAD + list(43, false, "s-1", "left"));
+            awaitReady(false);
+        }
+    }
+
     private Node start(MultiThreadIoEventLoopGroup group, EventLoop loop, Timers timers, InetSocketAddress discovery) {
         SettingsMapping settings = new SettingsMapping();
         settings.put(Json.parse("{\"Classes\":[{\"Name\":\"order\"}]}").asObject());
--- a/node/src/test/java/ferngrade/node/NodeTest.java
+++ b/node/src/test/java/ferngrade/node/NodeTest.java
@@ -98,6 +98,39 @@
         assertEquals(heard.get(1), "ended a/1 NEVER_SENT");
     }
 
+    /** Its connection broke, or was closed by us: whether the worker runs the job yet, nobody knows. */
+    @Test
+    public void workerThatMayStillRunAnAttemptDoesNotGetTheRequestAgain() {
+        request("a", 21_000);
+        send("a", 1);
+        sent.get(0).written();
+        sent.get(0).ended(Outcome.RESET, Report.NONE);
+        run();
+        send("a", 1);
+        assertEquals(sent.size(), 1);
+        send("a", 2);
+        sent.get(1).written();
+        actions.cancel("a", 2);
+        turn();
+        send("a", 2);
+        assertEquals(sent.size(), 2);
+        request("b", 21_000);
+        send("b", 1);
+        sent.get(2).ended(Outcome.CONNECT_FAILED, Report.NONE);
+        run();
+        send("b", 1);
+        assertEquals(sent.size(), 4, "what was never written bars nobody");
+    }
+
+    @Test
+    public void secondCopyStillOnItsWayBeginsNoMoreOnceTheFirstIsServed() {
+        out("a", 1);
+        send("a", 2);
+        assertTrue(sent.get(1).mayStart());
+        say("a", "s-1", News.State.DONE);
+        assertFalse(sent.get(1).mayStart());
+    }
+
     @Test
     public void timeOutGivesUpAndSaysWhetherItMayHaveRun() {
         out("a", 1);
