--- a/node/src/test/java/ferngrade/net/CrossingsTest.java
+++ b/node/src/test/java/ferngrade/net/CrossingsTest.java
@@ -156,6 +156,7 @@
     @Test
     public void attemptGivenUpBeforeThe202IsDeletedAndTheNextOneWaitsForThat() throws Exception {
         try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            other.setSoTimeout(10_000);
             start(list(1, "active").replace("{\"id\":\"s-2\",\"host_port\":7,", "{\"id\":\"s-2\",\"host_port\":\"127.0.0.1:"
                     + other.getLocalPort() + "\",\"locality\":\"z\",\"flavor\":\"k\","), () -> now);
             try (RawHttp client = RawHttp.to(node.address())) {
