Force answers that never end, full descriptors with discovery down, requests by the byte

Three more stories of CrossingsTest, and the budget of a cold worker for 3, 30 and 100 dispatchers that do not hear each other (1, 4 and 40 before).

--- a/decisions/src/test/java/ferngrade/RulesTest.java
+++ b/decisions/src/test/java/ferngrade/RulesTest.java
@@ -212,7 +212,7 @@
     /** All dispatchers together must stay under multiple x capacity x window; what is refused counts as well. */
     @Test
     void coldWorkerGetsNoMoreThanItsBudgetFromAllDispatchersTogether() {
-        for (int of : new int[] {1, 4, 40}) {
+        for (int of : new int[] {1, 3, 4, 30, 40, 100}) {
             int sent = 0;
             double served = 0;
             for (int me = 0; me < of; me++) {
--- a/node/src/test/java/ferngrade/net/CrossingsTest.java
+++ b/node/src/test/java/ferngrade/net/CrossingsTest.java
@@ -11,8 +11,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -176,6 +178,61 @@
         }
     }
 
+    @Test
+    public void answerThatNeverEndsIsGivenUpAndItsJobDeleted() throws Exception {
+        start(list(1, "active"), () -> now);
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            RawHttp worked = new RawHttp(worker.accept());
+            worked.read();
+            worked.write("HTTP/1.1 202 Accepted\r\nContent-Length: 5\r\n\r\nab");
+            settled();
+            now += 1000;
+            assertNull(worked.read());
+            assertEquals(new RawHttp(worker.accept()).read().start(), "DELETE /jobs/a HTTP/1.1");
+            assertEquals(client.read().status(), 502, "it may have run, and may not run twice");
+        }
+    }
+
+    /** Discovery comes back while idle clients hold every descriptor that they can get: it, workers and news get theirs. */
+    @Test
+    public void idleClientsThatFillTheDescriptorsKeepOutNeitherDiscoveryNorWorkersNorCallBacks() throws Exception {
+        start(list(1, "active"), () -> now);
+        watch.close();
+        List<RawHttp> crowd = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            crowd.add(RawHttp.to(node.address()));
+        }
+        settled();
+        now += 100;
+        RawHttp again = new RawHttp(discovery.accept());
+        assertEquals(again.read().start(), "GET /api/targets?watch=1&from=1 HTTP/1.1");
+        again.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list(2, "active") + "\n"));
+        try (RawHttp client = RawHttp.to(node.address())) {
+            client.write(RawHttp.message(job("POST /api", "a", "order"), ""));
+            new RawHttp(worker.accept()).read();
+            assertEquals(callBack("a", DONE), 204);
+            assertEquals(client.read().body(), "soup");
+        }
+        for (RawHttp each : crowd) {
+            each.close();
+        }
+    }
+
+    @Test
+    public void requestThatComesByTheByteWhileOthersAreServedIsOneRequest() throws Exception {
+        start(list(1, "active"), () -> now);
+        try (RawHttp slow = RawHttp.to(node.address())) {
+            for (byte each : RawHttp.message(job("POST /api", "a", "order"), "body").getBytes(StandardCharsets.US_ASCII)) {
+                slow.write(String.valueOf((char) each));
+                settled();
+            }
+            assertEquals(new RawHttp(worker.accept()).read().body(), "body");
+            callBack("a", DONE);
+            assertEquals(slow.read().body(), "soup");
+        }
+    }
+
     @Test
     public void drainToldWhileTheWorkerIsDialledSendsNothingThere() throws Exception {
         List<Socket> filled = fillWorkersQueue();
