Serve by the stored list at once where discovery is asked, not pushed

Read again: that a new process waits for its first list holds for pushed lists, whose agent answers at once. Where discovery is asked an answer takes seconds and nothing counts as told before it; waiting there would have left a restarted node without a list for a second. NodeServer.keep tells the two apart by the settings. Test: newProcessServesByTheStoredListWhereDiscoveryIsAskedAndTakesItsTime, beside newProcessActsOnTheFirstListOnly.

--- a/node/src/main/java/ferngrade/net/NodeServer.java
+++ b/node/src/main/java/ferngrade/net/NodeServer.java
@@ -4,11 +4,13 @@
 import ferngrade.Dispatcher;
 import ferngrade.Dispatcher.Actions;
 import ferngrade.Dispatcher.JobClass;
+import ferngrade.Dispatcher.News;
 import ferngrade.config.MaintenanceCodec;
 import ferngrade.config.MemberReader;
 import ferngrade.config.NodeConfig;
 import ferngrade.node.Clock;
 import ferngrade.node.Log;
+import ferngrade.node.Member;
 import ferngrade.node.Node;
 import ferngrade.node.StateFile;
 import ferngrade.node.Timers;
@@ -145,7 +147,7 @@
         StateFile state = platform.state() == null ? null : new StateFile(platform.state().resolve(MAINTENANCE_FILE));
         restore(node, state);
         if (config.known() != null) {
-            node.stored(config.known().members());
+            keep(node, config.known().members());
         }
         List<ChannelFuture> bound = new ArrayList<>();
         if (config.peerListen() != null) {
@@ -179,6 +181,18 @@
         return bound;
     }
 
+    /**
+     * Where lists are pushed, what the agent here holds counts as told from the first moment, and it answers at once:
+     * the stored list waits for that. Where discovery is asked, nothing counts before its answer, which may take long.
+     */
+    private void keep(Node node, List<Member> stored) {
+        if (config.settings().asks()) {
+            node.members(News.STORED, stored);
+        } else {
+            node.stored(stored);
+        }
+    }
+
     /**
      * Reads where an earlier process of this node takes calls, before this one says where it does; that process
      * may still run beside this one on the clients' socket.
--- a/node/src/test/java/ferngrade/net/CrossingsTest.java
+++ b/node/src/test/java/ferngrade/net/CrossingsTest.java
@@ -326,6 +326,14 @@
         }
     }
 
+    @Test
+    public void newProcessServesByTheStoredListWhereDiscoveryIsAskedAndTakesItsTime() throws Exception {
+        start(config(discovery.getLocalPort(), list(1, "active"), "ask"), () -> now);
+        try (RawHttp client = RawHttp.to(node.address())) {
+            assertEquals(client.write(READY).read().status(), 200);
+        }
+    }
+
     @Test
     public void callBackCountsThoughItsLoadReportCannotBeRead() throws Exception {
         start(list(1, "active"), () -> now);
