--- a/node/src/test/java/ferngrade/net/CrossingsTest.java
+++ b/node/src/test/java/ferngrade/net/CrossingsTest.java
@@ -12,10 +12,9 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
@@ -49,13 +48,28 @@
         }
     }
 
-    @Test
-    public void clientThatGoesWhileTheWorkerIsDialledHasNothingBegunForIt() throws Exception {
+    /** How a client goes; one that shuts only its sending side cannot be told from one that closed. */
+    private enum Leaving { CLOSES, RESETS, SHUTS_ITS_SENDING_SIDE }
+
+    @DataProvider
+    public Object[][] leavings() {
+        return Stream.of(Leaving.values()).map(each -> new Object[] {each}).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "leavings")
+    public void clientThatGoesWhileTheWorkerIsDialledHasNothingBegunForIt(Leaving how) throws Exception {
         List<Socket> filled = fillWorkersQueue();
         start(list(1, "active"), () -> now);
-        try (RawHttp gone = RawHttp.to(node.address())) {
-            gone.write(RawHttp.message(job("POST /api", "a", "order"), ""));
-            settled();
+        Socket gone = new Socket(node.address().getAddress(), node.address().getPort());
+        new RawHttp(gone).write(RawHttp.message(job("POST /api", "a", "order"), ""));
+        settled();
+        switch (how) {
+            case CLOSES -> gone.close();
+            case RESETS -> {
+                gone.setSoLinger(true, 0);
+                gone.close();
+            }
+            default -> gone.shutdownOutput();
         }
         settled();
         emptyWorkersQueue(filled);
@@ -162,11 +176,11 @@
             start(list(1, "active").replace("{\"id\":\"s-2\",\"host_port\":7,", "{\"id\":\"s-2\",\"host_port\":\"127.0.0.1:"
                     + other.getLocalPort() + "\",\"locality\":\"z\",\"flavor\":\"k\","), () -> now);
             try (RawHttp client = RawHttp.to(node.address())) {
-                client.write(RawHttp.message(job("POST /api", "a", "plan") + "\r\nIdempotency-Key: k", ""));
-                settled();
-                ServerSocket first = holds(worker) ? worker : other;
+                client.write(RawHttp.message(job("POST /api", "a", "draft"), ""));
+                Map.Entry<ServerSocket, RawHttp> came = first(worker, other);
+                ServerSocket first = came.getKey();
                 ServerSocket second = first == worker ? other : worker;
-                RawHttp hung = new RawHttp(first.accept());
+                RawHttp hung = came.getValue();
                 hung.read();
                 // The timer asks the clock once a second of the machine has passed.
                 now += 1000;
@@ -294,6 +308,40 @@
         assertThrows(SocketTimeoutException.class, worker::accept);
     }
 
+    @Test
+    public void requestHalfReadAtAStopIsRefusedWhenItIsWhole() throws Exception {
+        start(list(1, "active"), () -> now);
+        String request = RawHttp.message(job("POST /api", "a", "order"), "body");
+        try (RawHttp client = RawHttp.to(node.address())) {
+            // A known client: strangers that connect meanwhile do not push it out.
+            client.write(RawHttp.message(job("POST /api", "known", "order"), ""));
+            new RawHttp(worker.accept()).read();
+            callBack("known", DONE);
+            client.read();
+            client.write(request.substring(0, request.length() - 2));
+            settled();
+            CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> {
+                try {
+                    node.stop(0);
+                } catch (InterruptedException interrupted) {
+                    throw new IllegalStateException(interrupted);
+                }
+            });
+            while (reachable()) {
+                Thread.onSpinWait();
+            }
+            client.write(request.substring(request.length() - 2));
+            Message answer = client.read();
+            assertEquals(answer.status(), 503);
+            assertEquals(answer.headers().get("Connection"), "close");
+            assertNull(client.read());
+            client.end();
+            stopped.get();
+            worker.setSoTimeout(1);
+            assertThrows(SocketTimeoutException.class, worker::accept);
+        }
+    }
+
     @Test
     public void signalsThatComeWhileTheNodeStopsChangeNothing() throws Exception {
         start(list(1, "active"), () -> now);
@@ -353,11 +401,19 @@
         }
     }
 
-    /** True if a connection waits to be accepted there; it is put back by nobody, so this reads the system's table. */
-    private static boolean holds(ServerSocket listener) throws IOException {
-        String port = String.format(":%04X ", listener.getLocalPort());
-        try (Stream<String> connections = Files.lines(Path.of("/proc/net/tcp"))) {
-            return connections.anyMatch(line -> line.matches("\\s*\\d+: \\S+" + port + "\\S+ 0[18] .*"));
+    /** The listener of these two at which a connection comes in first, and that connection. */
+    private static Map.Entry<ServerSocket, RawHttp> first(ServerSocket one, ServerSocket two) throws IOException {
+        for (int i = 0; i < 1000; i++) {
+            ServerSocket each = i % 2 == 0 ? one : two;
+            each.setSoTimeout(10);
+            try {
+                return Map.entry(each, new RawHttp(each.accept()));
+            } catch (SocketTimeoutException none) {
+                continue;
+            } finally {
+                each.setSoTimeout(10_000);
+            }
         }
+        throw new SocketTimeoutException("no connection at either");
     }
 }
--- a/node/src/test/java/ferngrade/net/NodeStory.java
+++ b/node/src/test/java/ferngrade/net/NodeStory.java
@@ -94,7 +94,8 @@
                 + "','seed':'7','limits':{'sockets':64},'settings':{'Discovery':'" + mode + "','Zones':['z'],'Kinds':['k'],'Tenants':[{'Name':'t','Share':1}],"
                 + "'Extra':{'TellsStart':true},'Ceilings':{'MostTries':5,'ConnectTimeout':5000,'RetryAfter':true,'MaxRetryAfter':2000},"
                 + "'Classes':[{'Name':'order','Effect':'at_most_once','Deadline':9000.0},"
-                + "{'Name':'plan','Effect':'deduplicated','KeyScope':'all'}]}}";
+                + "{'Name':'plan','Effect':'deduplicated','KeyScope':'all'},"
+                + "{'Name':'draft','Effect':'idempotent','Deadline':9000.0}]}}";
         var json = Json.parse(config.replace('\'', '"')).asObject();
         if (known != null) {
             json.set("known", Json.parse(known));
--- a/node/src/test/java/ferngrade/net/RawHttp.java
+++ b/node/src/test/java/ferngrade/net/RawHttp.java
@@ -66,6 +66,11 @@
         return head + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    /** Ends this side. */
+    void end() throws IOException {
+        socket.close();
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
--- a/node/src/test/java/ferngrade/node/NodeTest.java
+++ b/node/src/test/java/ferngrade/node/NodeTest.java
@@ -122,6 +122,31 @@
         assertEquals(sent.size(), 4, "what was never written bars nobody");
     }
 
+    @Test
+    public void clientThatGoesBetweenTwoAttemptsOrWhileItWaitsHasNoneBegun() {
+        out("a", 1);
+        node.clientGone("a");
+        say("a", "s-1", News.State.RETURNED);
+        send("a", 2);
+        request("b", 21_000);
+        node.clientGone("b");
+        send("b", 2);
+        assertEquals(sent.size(), 1);
+        assertEquals(answers, List.of());
+        assertEquals(heard, List.of("arrived a", "abandoned a", "ended a/0 FULL over", "arrived b", "abandoned b"));
+    }
+
+    @Test
+    public void callBackAfterTheResetOfItsAttemptChangesNothing() {
+        out("a", 1);
+        sent.get(0).ended(Outcome.RESET, Report.NONE);
+        run();
+        say("a", "s-1", News.State.DONE);
+        say("a", "s-1", News.State.FAILED);
+        assertEquals(heard, List.of("arrived a", "ended a/0 RESET"));
+        assertEquals(answers, List.of());
+    }
+
     @Test
     public void secondCopyStillOnItsWayBeginsNoMoreOnceTheFirstIsServed() {
         out("a", 1);
