Let the story of two stops begin its grace only once the node stops

signalsThatComeWhileTheNodeStopsChangeNothing moved its clock before the stop had set its timer, and then waited for ever: seen hanging in two of three runs, in the test alone; jstack showed both stops waiting for the grace.

--- a/node/src/test/java/ferngrade/net/CrossingsTest.java
+++ b/node/src/test/java/ferngrade/net/CrossingsTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
@@ -303,7 +304,7 @@
             assertNull(client.read(), "an end and no reset");
             read.set(true);
         }
-        assertTrue(stopped.get());
+        assertTrue(stopped.get(20, TimeUnit.SECONDS));
         worker.setSoTimeout(1);
         assertThrows(SocketTimeoutException.class, worker::accept);
     }
@@ -336,7 +337,7 @@
             assertEquals(answer.headers().get("Connection"), "close");
             assertNull(client.read());
             client.end();
-            stopped.get();
+            stopped.get(20, TimeUnit.SECONDS);
             worker.setSoTimeout(1);
             assertThrows(SocketTimeoutException.class, worker::accept);
         }
@@ -348,9 +349,13 @@
         CompletableFuture<Void> first = CompletableFuture.runAsync(this::stop);
         node.reload(config(discovery.getLocalPort(), null));
         CompletableFuture<Void> second = CompletableFuture.runAsync(this::stop);
+        // Not before the stop has begun does its grace run.
+        try (RawHttp client = RawHttp.to(node.address())) {
+            awaitReadiness(client, 503);
+        }
         now += 700;
-        first.get();
-        second.get();
+        first.get(20, TimeUnit.SECONDS);
+        second.get(20, TimeUnit.SECONDS);
         node.reload(config(discovery.getLocalPort(), null));
         node.reloadFailed("no more");
         node.stop(0);
