Serve by the stored list after 0.3 s of an agent's silence, not after its first failed watch

An agent that can be reached answers at once, so 300 ms of silence say that it is cut off (DiscoveryWatch.AT_ONCE, Node.sourceSilent). Test: newProcessWhoseAgentIsSilentServesByTheStoredListAfterAMoment.

--- a/node/src/main/java/ferngrade/net/DiscoveryWatch.java
+++ b/node/src/main/java/ferngrade/net/DiscoveryWatch.java
@@ -50,6 +50,11 @@
     private static final double SILENCE = 2500;
     /** The agent answers at once; a watch that does not begin to is dead too. */
     private static final double FIRST_SILENCE = 1000;
+    /**
+     * An agent that can be reached answers well within this; one that is silent for longer is cut off from its source,
+     * and a process that has just started serves by the list of an earlier one until it is back.
+     */
+    private static final double AT_ONCE = 300;
     private static final double RETRY_FIRST = 100;
     /** The agent is on the node's own machine: asking it again is cheap, and being told late is not. */
     private static final double RETRY_MOST = 500;
@@ -136,6 +141,7 @@
         request.headers().set(HttpHeaderNames.HOST, discovery.getHostString() + ":" + discovery.getPort());
         opened.closeFuture().addListener(ended -> ended());
         listen(FIRST_SILENCE);
+        timers.after(AT_ONCE, node::sourceSilent);
         opened.writeAndFlush(request);
     }
 
--- a/node/src/main/java/ferngrade/node/Node.java
+++ b/node/src/main/java/ferngrade/node/Node.java
@@ -234,11 +234,16 @@
                 maintenance.listedOut() + module.excluded(clock.now()));
     }
 
-    /** The worker list could not be had; the last one stays. */
-    public void listFailed() {
+    /** The source of the list does not answer as one that can be reached does: the stored list counts, if none was told. */
+    public void sourceSilent() {
         if (stored != null) {
             members(Dispatcher.News.STORED, stored);
         }
+    }
+
+    /** The worker list could not be had; the last one stays. */
+    public void listFailed() {
+        sourceSilent();
         offer(() -> module.listFailed(clock.now()));
     }
 
--- a/node/src/test/java/ferngrade/net/CrossingsTest.java
+++ b/node/src/test/java/ferngrade/net/CrossingsTest.java
@@ -379,6 +379,17 @@
         }
     }
 
+    @Test
+    public void newProcessWhoseAgentIsSilentServesByTheStoredListAfterAMoment() throws Exception {
+        start(config(discovery.getLocalPort(), list(1, "active")), () -> now);
+        new RawHttp(discovery.accept()).read();
+        try (RawHttp client = RawHttp.to(node.address())) {
+            assertEquals(client.write(READY).read().status(), 503);
+            now += 300;
+            awaitReadiness(client, 200);
+        }
+    }
+
     @Test
     public void newProcessServesByTheStoredListWhereDiscoveryIsAskedAndTakesItsTime() throws Exception {
         start(config(discovery.getLocalPort(), list(1, "active"), "ask"), () -> now);
