Pause no longer than 0.1 s between tries at an agent that is silent

Read: a silent watch is given up after 1 s, and the pause before the next one grew to 500 ms (RETRY_MOST). What the agent gets at the return counts as told then; a node in its pause heard it up to half a second later, over the rule's 250 ms. Ruled out: the stored list, which counts only before the first one told. Change: where lists are pushed the pause is 100 ms at most; where discovery is asked and calls have a price it stays at 500. Test: agentThatStaysSilentIsAskedAgainAfterNoLongerThanATenthOfASecond, which waits for ever with the longer pause.

--- a/node/src/main/java/ferngrade/net/DiscoveryWatch.java
+++ b/node/src/main/java/ferngrade/net/DiscoveryWatch.java
@@ -39,7 +39,7 @@
  *
  * <p>What discovery has counts as told 6 s after it had it and could be reached. Within that fit, in the worst
  * order, a silence to be noticed, a dial that hangs and an answer that does not begin, with the pauses between:
- * 2.5 + 0.1 + 1 + 0.2 + 1 + 0.4 s.
+ * 2.5 + 0.1 + 1 + 0.2 + 1 + 0.4 s where discovery is asked, less where it pushes.
  */
 final class DiscoveryWatch {
     /**
@@ -56,8 +56,13 @@
      */
     private static final double AT_ONCE = 300;
     private static final double RETRY_FIRST = 100;
-    /** The agent is on the node's own machine: asking it again is cheap, and being told late is not. */
-    private static final double RETRY_MOST = 500;
+    /**
+     * The longest pause between tries, ms. The agent is on the node's own machine: asking it costs nothing, and what it
+     * gets when discovery is back counts as told in that moment. A pause near the 250 ms of the drain rule would send
+     * jobs to workers that drain. Where discovery is asked, each call has its price, and counts once it is answered.
+     */
+    static final double PUSHED_MOST = 100;
+    static final double ASKED_MOST = 500;
     private static final int CONNECT_TIMEOUT = 1000;
     /** The longest line, in bytes: a whole list of some thousand workers. */
     private static final int LONGEST_LINE = 1 << 20;
@@ -67,6 +72,7 @@
     private final Node node;
     private final Timers timers;
     private final Log log;
+    private final double retryMost;
     private final Runnable whenListed;
     private final Bootstrap bootstrap;
     /** The connection whose word counts, null while there is none. */
@@ -80,9 +86,13 @@
     private double retry = RETRY_FIRST;
     private Timers.Timer silence;
 
-    /** A watch that calls {@code whenListed} once its address has told a whole list for the first time. */
+    /**
+     * A watch that pauses for {@code retryMost} ms at most between tries, and calls {@code whenListed} once its address
+     * has told a whole list for the first time.
+     */
     DiscoveryWatch(EventLoopGroup group, InetSocketAddress discovery, MemberReader reader, Node node, Timers timers,
-            Log log, Runnable whenListed) {
+            Log log, double retryMost, Runnable whenListed) {
+        this.retryMost = retryMost;
         this.discovery = discovery;
         this.reader = reader;
         this.node = node;
@@ -173,7 +183,7 @@
         log.line("discovery at " + discovery + ": " + why);
         node.listFailed();
         timers.after(retry, this::start);
-        retry = Math.min(RETRY_MOST, 2 * retry);
+        retry = Math.min(retryMost, 2 * retry);
     }
 
     private void line(String line) {
--- a/node/src/main/java/ferngrade/net/NodeServer.java
+++ b/node/src/main/java/ferngrade/net/NodeServer.java
@@ -175,8 +175,9 @@
                 });
             }
         }
+        double pause = config.settings().asks() ? DiscoveryWatch.ASKED_MOST : DiscoveryWatch.PUSHED_MOST;
         discovery = new Discovery((address, whenListed) ->
-                new DiscoveryWatch(group, address, config.memberReader(), node, timers, log, whenListed));
+                new DiscoveryWatch(group, address, config.memberReader(), node, timers, log, pause, whenListed));
         discovery.watch(config.discovery());
         return bound;
     }
--- a/node/src/test/java/ferngrade/net/DiscoveryWatchTest.java
+++ b/node/src/test/java/ferngrade/net/DiscoveryWatchTest.java
@@ -210,6 +210,19 @@
         }
     }
 
+    /** What an agent gets when discovery is back counts as told then: the pauses stay well under the drain rule's 250 ms. */
+    @Test(timeOut = 30_000)
+    public void agentThatStaysSilentIsAskedAgainAfterNoLongerThanATenthOfASecond() throws Exception {
+        for (int i = 0; i < 5; i++) {
+            try (RawHttp silent = accept(WHOLE)) {
+                now += 1_000;
+                loop.submit(timers::run).get();
+                assertNull(silent.read());
+            }
+            passAfterEnd(100);
+        }
+    }
+
     /** From the last sign of life on, with a dial that hangs and an answer that does not begin in between. */
     @Test(timeOut = 30_000)
     public void changeThatASilentWatchMissesIsHeardWithinSixSecondsOfTheSilence() throws Exception {
@@ -234,7 +247,7 @@
             }
             assertNull(mute.read());
         }
-        passAfterEnd(200);
+        passAfterEnd(100);
         try (RawHttp again = accept("GET /api/targets?watch=1&from=41 HTTP/1.1")) {
             assertTrue(now - began + 2_500 + 1_000 + 400 <= 6_000, "with a dial of a second and its pause: " + now);
             again.write(HEAD + list(43, false, "s-1", "left"));
@@ -249,7 +262,8 @@
         Log log = new Log(() -> now, line -> ended.compareAndSet(false, line.contains("watch ended")));
         Node node = new Node(new Node.Surroundings(() -> now, timers, loop, null, (peer, message) -> { }, log),
                 new Node.Room(1, 1, 0), actions -> new Choice(settings.build(), 7, now, actions));
-        new DiscoveryWatch(group, discovery, new MemberReader(List.of(), List.of()), node, timers, log, () -> { })
+        new DiscoveryWatch(group, discovery, new MemberReader(List.of(), List.of()), node, timers, log,
+                DiscoveryWatch.PUSHED_MOST, () -> { })
                 .start();
         return node;
     }
