Name the process in logs and attempts, and count withheld attempts and refusals by reason

Cause: the incident's records could not tell which of two processes logged a line or sent an attempt, nor why an attempt was not begun or a request refused. Measured: tests of test-support, dispatch and node pass.

--- a/node/src/main/java/ferngrade/cli/Serve.java
+++ b/node/src/main/java/ferngrade/cli/Serve.java
@@ -38,13 +38,18 @@
       return Cli.BAD_CONFIG;
     }
     Clock clock = Clock.system();
+    long pid = ProcessHandle.current().pid();
     RateLimitedLog log =
         new RateLimitedLog(
             clock,
-            line -> System.err.printf("%.3f %s %s%n", clock.now() / 1000, config.name(), line));
+            line ->
+                System.err.printf(
+                    "%.3f %s[%d] %s%n", clock.now() / 1000, config.name(), pid, line));
+    log.line("starting" + (platform.accepted() != null ? " on a socket handed over" : ""));
     NodeServer server;
     try {
-      server = NodeServer.start(config, platform, clock, log);
+      server =
+          NodeServer.start(config, platform.identifiedAs(config.name() + "/" + pid), clock, log);
     } catch (Exception failed) {
       System.err.println("ferngrade: listen: " + failed.getMessage());
       return 1;
--- a/node/src/main/java/ferngrade/http/Admin.java
+++ b/node/src/main/java/ferngrade/http/Admin.java
@@ -5,8 +5,10 @@
 import ferngrade.node.AtomicFile;
 import ferngrade.node.NodeMetrics;
 import ferngrade.node.RateLimitedLog;
+import ferngrade.node.RejectionReason;
 import ferngrade.node.RequestCoordinator;
 import ferngrade.node.Timers;
+import ferngrade.node.WithheldReason;
 import ferngrade.node.WorkerCallback;
 import ferngrade.transport.ChannelProvider;
 import ferngrade.transport.ChannelProvider.Purpose;
@@ -21,6 +23,8 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
@@ -223,9 +227,21 @@
     line(text, "menu_workers_excluded", now.excluded());
     line(text, "reloads_ok", reloadsOk.getAsInt());
     line(text, "reloads_failed", reloadsFailed.getAsInt());
+    line(text, "retries", now.retries());
+    line(text, "abandoned", now.abandoned());
+    lines(text, "withheld.", WithheldReason.values(), now.withheld());
+    lines(text, "rejected.", RejectionReason.values(), now.rejected());
     return text.toString();
   }
 
+  /** A line for each reason, also for those that have not occurred. */
+  private static <R extends Enum<R>> void lines(
+      StringBuilder text, String prefix, R[] reasons, Map<R, Long> counts) {
+    for (R reason : reasons) {
+      line(text, prefix + reason.name().toLowerCase(Locale.ROOT), counts.getOrDefault(reason, 0L));
+    }
+  }
+
   private static long count(long[] counts, int jobClass) {
     return jobClass < counts.length ? counts[jobClass] : 0;
   }
--- a/node/src/main/java/ferngrade/http/AttemptExchange.java
+++ b/node/src/main/java/ferngrade/http/AttemptExchange.java
@@ -85,6 +85,9 @@
     request.headers().set(Headers.ID, call.id());
     request.headers().set(Headers.DEADLINE, WorkerDeadline.header(left));
     request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+    if (client.process() != null) {
+      request.headers().set(Headers.PROCESS, client.process());
+    }
     if (call.repeatKey() != null) {
       request.headers().set(Headers.REPEAT_KEY, call.repeatKey());
     }
--- a/node/src/main/java/ferngrade/http/ClientRequestHandler.java
+++ b/node/src/main/java/ferngrade/http/ClientRequestHandler.java
@@ -2,6 +2,7 @@
 
 import ferngrade.dispatch.Job;
 import ferngrade.node.Clock;
+import ferngrade.node.RejectionReason;
 import ferngrade.node.RequestCoordinator;
 import ferngrade.node.WorkerCallback;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -97,7 +98,7 @@
     ShutdownBudget budget = front.budget();
     if (budget != null) {
       if (front.finishing() || budget.tooLittleFor(job.due(), clock.now())) {
-        coordinator.reject(job, response, 0);
+        coordinator.reject(job, response, 0, RejectionReason.SHUTDOWN);
         return;
       }
       job = budget.capped(job);
--- a/node/src/main/java/ferngrade/http/Headers.java
+++ b/node/src/main/java/ferngrade/http/Headers.java
@@ -1,6 +1,6 @@
 package ferngrade.http;
 
-/** The names of the headers that clients and workers use beside those of HTTP. */
+/** The names of the headers that clients, workers and nodes use beside those of HTTP. */
 final class Headers {
   static final String ID = "Req-Id";
   static final String KIND = "Req-Kind";
@@ -12,5 +12,8 @@
   static final String DECLINED = "Srv-Declined";
   static final String LOAD = "Srv-Load";
 
+  /** Name and process id of the sender, for the records of workers. */
+  static final String PROCESS = "Dispatcher-Process";
+
   private Headers() {}
 }
--- a/node/src/main/java/ferngrade/http/WorkerClient.java
+++ b/node/src/main/java/ferngrade/http/WorkerClient.java
@@ -25,6 +25,7 @@
   private final RateLimitedLog log;
   private final Dialer dialer;
   private Runnable beforeAttempt = () -> {};
+  private String process;
 
   public WorkerClient(
       EventLoopGroup group,
@@ -58,6 +59,16 @@
     beforeAttempt = task;
   }
 
+  /** Sets what attempts say of the process that sends them, name and process id. */
+  public void identifyAs(String sender) {
+    process = sender;
+  }
+
+  /** What attempts say of the process that sends them; null for nothing. */
+  String process() {
+    return process;
+  }
+
   @Override
   public AttemptHandle send(
       JobRequest call, InetSocketAddress worker, double timeout, Listener listener) {
--- a/node/src/main/java/ferngrade/node/AttemptRunner.java
+++ b/node/src/main/java/ferngrade/node/AttemptRunner.java
@@ -23,6 +23,7 @@
   private final TurnQueue turns;
   private final EndpointRegistry endpoints;
   private final NodeMetrics metrics;
+  private final RateLimitedLog log;
   private final EndListener listener;
 
   /** Is notified of the end of each attempt, once. */
@@ -40,6 +41,7 @@
     this.clock = around.clock();
     this.timers = around.timers();
     this.transport = around.workers();
+    this.log = around.log();
     this.turns = turns;
     this.endpoints = endpoints;
     this.metrics = metrics;
@@ -58,11 +60,18 @@
     request.attempts.add(attempt);
     request.attemptsInFlight++;
     double left = request.job.due() - now;
-    if (request.completed()
-        || left <= 0
-        || barred
-        || endpoint == null
-        || endpoint.worker().state() != WorkerState.READY) {
+    WithheldReason reason = null;
+    if (request.completed()) {
+      reason = WithheldReason.REQUEST_COMPLETED;
+    } else if (left <= 0) {
+      reason = WithheldReason.DEADLINE_PASSED;
+    } else if (barred) {
+      reason = WithheldReason.EARLIER_ATTEMPT;
+    } else if (endpoint == null || endpoint.worker().state() != WorkerState.READY) {
+      reason = WithheldReason.WORKER_UNAVAILABLE;
+    }
+    if (reason != null) {
+      withheld(attempt, reason);
       turns.event(() -> end(attempt, AttemptOutcome.NEVER_SENT, LoadReport.NONE));
       return;
     }
@@ -75,6 +84,22 @@
         transport.send(request.call, endpoint.address(), limit, new ProgressListener(attempt));
   }
 
+  /** Counts and logs that an attempt is not begun; false, for those who ask whether it may be. */
+  private boolean withheld(Attempt attempt, WithheldReason reason) {
+    metrics.withheld(reason);
+    log.line(
+        "withheld " + reason,
+        "attempt "
+            + attempt.number
+            + " of request "
+            + attempt.request.job.id()
+            + " withheld from "
+            + (attempt.endpoint == null ? "an unlisted worker" : attempt.endpoint.name())
+            + ": "
+            + reason);
+    return false;
+  }
+
   /** Cancels an attempt in the next turn, if it has not ended by then. */
   void cancel(Attempt attempt) {
     giveUp(attempt, AttemptOutcome.CANCELLED, AttemptOutcome.NEVER_SENT);
@@ -142,16 +167,22 @@
     public boolean mayStart() {
       // A dial may outlast its purpose: the client may have gone, or another attempt have
       // succeeded.
-      return !attempt.ended
-          && !attempt.request.completed()
-          && endpoints.isCurrent(attempt.endpoint)
-          && attempt.request.clientPresent();
+      if (attempt.ended) {
+        return false;
+      }
+      if (attempt.request.completed()) {
+        return withheld(attempt, WithheldReason.REQUEST_COMPLETED);
+      }
+      if (!endpoints.isCurrent(attempt.endpoint)) {
+        return withheld(attempt, WithheldReason.WORKER_UNAVAILABLE);
+      }
+      return attempt.request.clientPresent() || withheld(attempt, WithheldReason.CLIENT_GONE);
     }
 
     @Override
     public void written() {
       attempt.written = true;
-      metrics.attempt();
+      metrics.attempt(attempt.number);
     }
 
     @Override
--- a/node/src/main/java/ferngrade/node/NodeMetrics.java
+++ b/node/src/main/java/ferngrade/node/NodeMetrics.java
@@ -1,22 +1,30 @@
 package ferngrade.node;
 
 import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
 
 /**
  * What a node has done since its start, as operators read it: final answers by class, and attempts
  * written whole to workers. Counted where the node does these things, once each; what is in work
  * and what is listed is not counted here but looked up when asked for, so that nothing is kept
- * twice. One thread owns it, the node's.
+ * twice. Retries, and what was withheld, rejected or abandoned, are counted by reason. One thread
+ * owns it, the node's.
  */
 public final class NodeMetrics {
   private long[] served = new long[0];
   private long[] refused = new long[0];
   private long[] failed = new long[0];
   private long attempts;
+  private long retries;
+  private long abandoned;
+  private final Map<WithheldReason, Long> withheld = new EnumMap<>(WithheldReason.class);
+  private final Map<RejectionReason, Long> rejected = new EnumMap<>(RejectionReason.class);
 
   /**
    * A snapshot; {@code inFlight} are jobs taken and not ended, {@code excluded} listed workers
-   * avoided now.
+   * avoided now, {@code retries} those of the attempts that were not their request's first, {@code
+   * abandoned} requests whose client left. A reason without an entry has not occurred.
    */
   public record Snapshot(
       long[] served,
@@ -25,22 +33,37 @@
       long attempts,
       int inFlight,
       int known,
-      int excluded) {}
+      int excluded,
+      long retries,
+      long abandoned,
+      Map<WithheldReason, Long> withheld,
+      Map<RejectionReason, Long> rejected) {}
 
   void served(int jobClass) {
     served = counted(served, jobClass);
   }
 
-  void refused(int jobClass) {
+  void refused(int jobClass, RejectionReason reason) {
     refused = counted(refused, jobClass);
+    rejected.merge(reason, 1L, Long::sum);
   }
 
   void failed(int jobClass) {
     failed = counted(failed, jobClass);
   }
 
-  void attempt() {
+  /** An attempt was written; {@code number} counts those of its request from 0. */
+  void attempt(int number) {
     attempts++;
+    retries += number > 0 ? 1 : 0;
+  }
+
+  void withheld(WithheldReason reason) {
+    withheld.merge(reason, 1L, Long::sum);
+  }
+
+  void abandoned() {
+    abandoned++;
   }
 
   private static long[] counted(long[] counts, int jobClass) {
@@ -51,6 +74,16 @@
 
   Snapshot snapshot(int inFlight, int known, int excluded) {
     return new Snapshot(
-        served.clone(), refused.clone(), failed.clone(), attempts, inFlight, known, excluded);
+        served.clone(),
+        refused.clone(),
+        failed.clone(),
+        attempts,
+        inFlight,
+        known,
+        excluded,
+        retries,
+        abandoned,
+        Map.copyOf(withheld),
+        Map.copyOf(rejected));
   }
 }
--- a/node/src/main/java/ferngrade/node/PendingRequest.java
+++ b/node/src/main/java/ferngrade/node/PendingRequest.java
@@ -44,9 +44,9 @@
     }
   }
 
-  void refused(double retryAfter) {
+  void refused(double retryAfter, RejectionReason reason) {
     if (complete()) {
-      metrics.refused(job.jobClass());
+      metrics.refused(job.jobClass(), reason);
       reply.refused(retryAfter);
     }
   }
@@ -61,12 +61,12 @@
     return first;
   }
 
-  /** The final answer to a request that is cancelled, by what its attempts may have done. */
+  /** The final answer to a request that a shutdown cancels, by what its attempts may have done. */
   void givenUp() {
     if (attempts.stream().anyMatch(Attempt::mayHaveRun)) {
       failed();
     } else {
-      refused(0);
+      refused(0, RejectionReason.SHUTDOWN);
     }
   }
 
@@ -77,6 +77,7 @@
 
   /** The client has gone; there is nobody to answer. */
   void abandoned() {
+    metrics.abandoned();
     completed = true;
   }
 
--- a/node/src/main/java/ferngrade/node/RequestCoordinator.java
+++ b/node/src/main/java/ferngrade/node/RequestCoordinator.java
@@ -43,6 +43,8 @@
   /** Bytes of the bodies of the pending requests. */
   private long bytes;
 
+  private boolean readyLogged;
+
   /** The process ends: {@link #answerAllBy} has been called. */
   private boolean ending;
 
@@ -113,15 +115,15 @@
 
   /** Rejects a request that the dispatcher does not see, for lack of capacity. */
   public void rejectForCapacity(Job job, ResponseHandler reply) {
-    reject(job, reply, limits.retryAfter());
+    reject(job, reply, limits.retryAfter(), RejectionReason.CAPACITY);
   }
 
   /**
    * Rejects a request that the dispatcher does not see, for example because the node shuts down;
    * {@code retryAfter} in ms, 0 for none.
    */
-  public void reject(Job job, ResponseHandler reply, double retryAfter) {
-    metrics.refused(job.jobClass());
+  public void reject(Job job, ResponseHandler reply, double retryAfter, RejectionReason reason) {
+    metrics.refused(job.jobClass(), reason);
     reply.refused(retryAfter);
   }
 
@@ -209,6 +211,10 @@
   }
 
   private void endpointsChanged(EndpointListUpdate kind, List<Worker> workerUpdates) {
+    if (!readyLogged && ready()) {
+      readyLogged = true;
+      log.line("ready: a worker list of " + endpoints.listed() + " is known");
+    }
     turns.event(() -> dispatcher.members(clock.now(), kind, workerUpdates));
   }
 
@@ -375,7 +381,7 @@
 
     @Override
     public void refuse(String id, double retryAfter) {
-      answer(id, request -> request.refused(retryAfter));
+      answer(id, request -> request.refused(retryAfter, RejectionReason.DISPATCHER));
     }
 
     @Override
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -94,8 +94,10 @@
    * @param accepted the clients' listening socket, or null where the node binds its own
    * @param state a folder that a later process of the node shares, or null for none
    * @param files how files in that folder are read and written
+   * @param process what attempts say of the process that sends them, or null for nothing
    */
-  public record Platform(ServerSocketChannel accepted, Path state, FileOperations files) {
+  public record Platform(
+      ServerSocketChannel accepted, Path state, FileOperations files, String process) {
     /** Nothing passed on: the node binds its own socket and keeps no state. */
     public static final Platform NONE = new Platform(null, null);
 
@@ -103,6 +105,16 @@
     public Platform(ServerSocketChannel accepted, Path state) {
       this(accepted, state, FileOperations.SYSTEM);
     }
+
+    /** On other file operations than the machine's. */
+    Platform(ServerSocketChannel accepted, Path state, FileOperations files) {
+      this(accepted, state, files, null);
+    }
+
+    /** The same for a process that attempts name. */
+    public Platform identifiedAs(String sender) {
+      return new Platform(accepted, state, files, sender);
+    }
   }
 
   private NodeServer(
@@ -283,6 +295,7 @@
     discovery = new Discovery(this::newWatch);
     discovery.watch(config.discovery());
     workers.beforeAttempt(discovery::readPending);
+    workers.identifyAs(platform.process());
     return bound;
   }
 
