Reproduce the incident with real processes: a failing test, listed in KNOWN-RED.txt

Known red: MaintenanceDuringUpgradeTest, a failing test before the fix. It starts two or three real processes of one node on one inherited socket and one shared folder, with workers, discovery, clients that keep their connections, and operators that call at either process; a checker judges from outside. All four cases fail on the landed behaviour: after a call at one process, 200, the other sends on (first sends 305 to 314 ms after the yes, up to 4.9 s after it where the old process ends); a third process sends to the worker of the second-last change; with three processes 300 sends took 25 s (call-backs lost), 2 s otherwise. Ruled out on the way: discovery tells its list anew every 300 ms throughout, and the process that got the call withheld its attempts (log line), so neither lists nor SIGTERM undo the change; no SIGHUP was sent, so that is not needed for it. The start's line now names the operators' address that was bound, not the configured one.

--- /dev/null
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/DiscoveryStub.java
@@ -0,0 +1,109 @@
+package ferngrade.faulttest.upgrade;
+
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * The discovery agent on the node's machine: each watch gets the whole list, and the list again
+ * every {@link #INTERVAL} ms.
+ */
+final class DiscoveryStub implements AutoCloseable {
+  /** How often a watch gets the list, ms: often, so that lists cross all else that happens. */
+  private static final long INTERVAL = 300;
+
+  private final ServerSocket listener;
+  private final List<WorkerStub> workers;
+  private final long origin = System.nanoTime();
+
+  DiscoveryStub(List<WorkerStub> workers) throws IOException {
+    this.workers = workers;
+    this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    daemon("discovery", this::accept);
+  }
+
+  private static void daemon(String name, Runnable task) {
+    Thread thread = new Thread(task, name);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) listener.getLocalSocketAddress();
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket watch = listener.accept();
+        daemon("watch", () -> serve(watch));
+      } catch (IOException closed) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket watch) {
+    try (watch) {
+      InputStream in = watch.getInputStream();
+      // The request ends with an empty line; nothing in it matters here.
+      int newlines = 0;
+      while (newlines < 2) {
+        int c = in.read();
+        if (c < 0) {
+          return;
+        }
+        newlines = c == '\n' ? newlines + 1 : c == '\r' ? newlines : 0;
+      }
+      OutputStream out = watch.getOutputStream();
+      out.write(ascii("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+      while (!listener.isClosed()) {
+        String line = list() + "\n";
+        out.write(ascii(Integer.toHexString(line.length()) + "\r\n" + line + "\r\n"));
+        Thread.sleep(INTERVAL);
+      }
+    } catch (IOException gone) {
+      // The node has ended its watch.
+    } catch (InterruptedException ending) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static byte[] ascii(String text) {
+    return text.getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private String list() {
+    JsonArray members = new JsonArray();
+    for (WorkerStub worker : workers) {
+      members.add(
+          new JsonObject()
+              .add("id", worker.name())
+              .add("host_port", "127.0.0.1:" + worker.address().getPort())
+              .add("locality", UpgradeRun.ZONE)
+              .add("flavor", UpgradeRun.KIND)
+              .add("phase", "active")
+              .add("size", 1)
+              .add("up_since_ms", 0));
+    }
+    long revision = 1 + (System.nanoTime() - origin) / 1_000_000 / INTERVAL;
+    return new JsonObject()
+        .add("revision", revision)
+        .add("complete", true)
+        .add("members", members)
+        .toString();
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+  }
+}
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -242,7 +242,7 @@
           "listening at "
               + server.address()
               + (platform.accepted() != null ? ", on the socket handed over" : "")
-              + (config.admin() != null ? "; operators' calls at " + config.admin() : ""));
+              + (config.admin() != null ? "; operators' calls at " + server.adminAddress() : ""));
       return server;
     } catch (Exception failed) {
       server
--- /dev/null
+++ b/test-support/src/main/java/ferngrade/knownfailures/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps tests that are known to fail, listed with their cause, from failing the build. */
+package ferngrade.knownfailures;
