Share operators' decisions between all processes of a node through one appended log

Cause: state of the node was kept per process. MaintenanceOverrides lived in one process; another one read it once, from ferngrade-maintenance.json in NodeServer.assemble, and never again (StateFolder.restoreMaintenance); the file was written whole by whoever wrote last; UpgradePeer knew one other address. Seen with process ids: the process that was not called sends on. Ruled out: lists, SIGHUP, the stop, attempts from before the call (docs/incidents). Change: node.SharedLog, an append-only log in the shared folder, followed by all processes and read before each attempt, each operators' call and each answer to ready; entries with a version per worker that merge; addresses of all processes in it; callbacks relayed to all others (and up to 64 KiB of them: the operators' listener took 4 KiB, a larger result got 413 and was taken for delivered); drain and resume hold for all processes; calls before the first list hold instead of 404. AtomicFile and the log share BackgroundWriter.

--- /dev/null
+++ b/node/src/main/java/ferngrade/config/SharedRecordCodec.java
@@ -0,0 +1,74 @@
+package ferngrade.config;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import ferngrade.node.DrainRecord;
+import ferngrade.node.MaintenanceEntry;
+import ferngrade.node.ProcessRecord;
+import ferngrade.node.SharedRecord;
+import java.net.InetSocketAddress;
+
+/**
+ * The text of the records that the processes of one node exchange: a JSON object in one line, by
+ * its kind {@code {"worker":name,"version":n,"out":true}}, {@code
+ * {"worker":name,"version":n,"returned":ms since 1970}}, {@code {"drained":true,"version":n}} or
+ * {@code {"pid":n,"operators":address}}.
+ */
+public final class SharedRecordCodec {
+  private SharedRecordCodec() {}
+
+  /** The record's text, without line feeds. */
+  public static String write(SharedRecord record) {
+    if (record instanceof MaintenanceEntry entry) {
+      JsonObject json = new JsonObject().add("worker", entry.worker());
+      json.add("version", entry.version());
+      return (entry.out() ? json.add("out", true) : json.add("returned", entry.returnedAt()))
+          .toString();
+    }
+    if (record instanceof DrainRecord drain) {
+      return new JsonObject()
+          .add("drained", drain.drained())
+          .add("version", drain.version())
+          .toString();
+    }
+    ProcessRecord process = (ProcessRecord) record;
+    InetSocketAddress operators = process.operators();
+    return new JsonObject()
+        .add("pid", process.pid())
+        .add("operators", operators.getHostString() + ":" + operators.getPort())
+        .toString();
+  }
+
+  /**
+   * Reads a record's text; null for a kind that this release does not know, as a later one may
+   * write.
+   *
+   * @throws IllegalArgumentException if the text is no record
+   */
+  public static SharedRecord read(String text) {
+    try {
+      JsonObject json = Json.parse(text).asObject();
+      JsonValue worker = json.get("worker");
+      if (worker != null) {
+        long version = json.get("version").asLong();
+        return new MaintenanceEntry(
+            worker.asString(),
+            version,
+            json.getBoolean("out", false),
+            json.getDouble("returned", 0));
+      }
+      if (json.get("drained") != null) {
+        return new DrainRecord(json.get("version").asLong(), json.get("drained").asBoolean());
+      }
+      if (json.get("operators") != null) {
+        return new ProcessRecord(
+            json.get("pid").asLong(), EndpointListParser.address(json.get("operators").asString()));
+      }
+      return null;
+    } catch (RuntimeException malformed) {
+      throw new IllegalArgumentException(
+          "not a record of a node's process: " + malformed.getMessage(), malformed);
+    }
+  }
+}
--- a/node/src/main/java/ferngrade/http/Admin.java
+++ b/node/src/main/java/ferngrade/http/Admin.java
@@ -1,9 +1,8 @@
 package ferngrade.http;
 
 import ferngrade.config.EndpointListParser;
-import ferngrade.config.MaintenanceCodec;
-import ferngrade.node.AtomicFile;
 import ferngrade.node.NodeMetrics;
+import ferngrade.node.OperatorState;
 import ferngrade.node.RateLimitedLog;
 import ferngrade.node.RejectionReason;
 import ferngrade.node.RequestCoordinator;
@@ -26,7 +25,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
@@ -46,15 +44,14 @@
    */
   public static final double STORE_TIMEOUT = 700;
 
-  /** The largest call, in bytes: calls carry no bodies worth the name. */
-  static final int MAX_CALL_BYTES = 4096;
+  /** The largest body of a call, in bytes: a relayed callback is as large as any. */
+  static final int MAX_CALL_BYTES = HttpFrontend.MAX_BODY;
 
   private final RequestCoordinator node;
   private final HttpFrontend front;
-  private final UpgradePeer upgradePeer;
+  private final UpgradePeers upgradePeers;
   private final List<String> classes;
-  private final AtomicFile state;
-  private final Executor loop;
+  private final OperatorState state;
   private final Timers timers;
   private final RateLimitedLog log;
   private final int most;
@@ -64,26 +61,25 @@
 
   /**
    * What the operators' calls act on; {@code state} is null where nothing is to outlive the
-   * process.
+   * process, {@code upgradePeers} where it has no others beside it.
    */
   public record Parts(
       RequestCoordinator node,
       HttpFrontend front,
-      UpgradePeer upgradePeer,
+      UpgradePeers upgradePeers,
       List<String> classes,
-      AtomicFile state,
+      OperatorState state,
       IntSupplier reloadsOk,
       IntSupplier reloadsFailed) {}
 
-  public Admin(Parts parts, Executor loop, Timers timers, RateLimitedLog log, int most) {
+  public Admin(Parts parts, Timers timers, RateLimitedLog log, int most) {
     this.node = parts.node();
     this.front = parts.front();
-    this.upgradePeer = parts.upgradePeer();
+    this.upgradePeers = parts.upgradePeers();
     this.classes = parts.classes();
     this.state = parts.state();
     this.reloadsOk = parts.reloadsOk();
     this.reloadsFailed = parts.reloadsFailed();
-    this.loop = loop;
     this.timers = timers;
     this.log = log;
     this.most = most;
@@ -126,6 +122,11 @@
     timers.after(CALL_TIMEOUT, caller::close);
   }
 
+  /** A caller has brought its whole call: it gets its answer, however many others come. */
+  void received(Channel caller) {
+    callers.remove(caller);
+  }
+
   void closed(Channel caller) {
     callers.remove(caller);
   }
@@ -133,7 +134,15 @@
   // ---- The calls ----
 
   boolean ready() {
-    return node.ready() && !front.draining();
+    refresh();
+    return node.ready() && !front.draining() && (state == null || state.complete());
+  }
+
+  /** Each call sees what other processes of the node were told before it. */
+  private void refresh() {
+    if (state != null) {
+      state.refresh();
+    }
   }
 
   /**
@@ -150,25 +159,48 @@
   }
 
   /**
-   * The other process of this node announces where it takes calls; false where this one has its own
+   * Another process of this node announces where it takes calls; false where this one has its own
    * socket.
    */
   boolean announced(String address) {
-    if (upgradePeer == null) {
+    if (upgradePeers == null) {
+      return false;
+    }
+    upgradePeers.at(EndpointListParser.address(address.trim()));
+    return true;
+  }
+
+  /**
+   * Another process of this node sends a record that it has appended, or could not append, to the
+   * log of both; false where this one keeps no state.
+   */
+  boolean recordReceived(String text) {
+    if (state == null) {
       return false;
     }
-    upgradePeer.at(EndpointListParser.address(address.trim()));
+    state.received(text);
     return true;
   }
 
   void drain() {
     log.line("drained by operators");
-    front.drainForOperators();
+    decided(true);
+  }
+
+  private void decided(boolean drained) {
+    if (state != null) {
+      state.refresh();
+      state.drain(drained);
+    } else if (drained) {
+      front.drainForOperators();
+    } else {
+      front.resume();
+    }
   }
 
   void resume() {
     log.line("taking clients again");
-    front.resume();
+    decided(false);
   }
 
   /** What became of a call that takes a worker out or back. */
@@ -189,6 +221,7 @@
    * most. A change that is stored later is reported then; only the first outcome counts.
    */
   void maintain(String worker, boolean out, Consumer<MaintenanceOutcome> answer) {
+    refresh();
     boolean known = out ? node.startMaintenance(worker) : node.endMaintenance(worker);
     if (!known) {
       answer.accept(MaintenanceOutcome.UNKNOWN_WORKER);
@@ -202,18 +235,17 @@
     }
     Timers.Timer timeout =
         timers.after(STORE_TIMEOUT, () -> answer.accept(MaintenanceOutcome.NOT_STORED_YET));
-    state.write(
-        MaintenanceCodec.write(node.savedMaintenance()),
-        () ->
-            loop.execute(
-                () -> {
-                  timeout.cancel();
-                  answer.accept(MaintenanceOutcome.STORED);
-                }));
+    state.storeMaintenance(
+        worker,
+        () -> {
+          timeout.cancel();
+          answer.accept(MaintenanceOutcome.STORED);
+        });
   }
 
   /** The metrics in the operators' form, a {@code name=value} a line. */
   String metrics() {
+    refresh();
     NodeMetrics.Snapshot now = node.metrics();
     StringBuilder text = new StringBuilder(256);
     for (int i = 0; i < classes.size(); i++) {
@@ -231,6 +263,9 @@
     line(text, "abandoned", now.abandoned());
     lines(text, "withheld.", WithheldReason.values(), now.withheld());
     lines(text, "rejected.", RejectionReason.values(), now.rejected());
+    if (upgradePeers != null) {
+      lines(text, "relayed.", UpgradePeers.RelayOutcome.values(), upgradePeers.relayed());
+    }
     return text.toString();
   }
 
--- a/node/src/main/java/ferngrade/http/AdminHandler.java
+++ b/node/src/main/java/ferngrade/http/AdminHandler.java
@@ -48,6 +48,7 @@
     if (answered || maintenancePending) {
       return;
     }
+    admin.received(ctx.channel());
     if (call.decoderResult().isFailure()) {
       answer(ctx, HttpResponseStatus.BAD_REQUEST, "not a call in HTTP/1.1\n");
       return;
@@ -81,7 +82,7 @@
           answer(ctx, HttpResponseStatus.OK, "taking clients\n");
         }
       }
-      case "/-/news", "/-/sibling" -> {
+      case "/-/news", "/-/sibling", "/-/state" -> {
         if (expect(ctx, method, HttpMethod.POST)) {
           fromUpgradePeer(ctx, path, call.content().toString(StandardCharsets.UTF_8));
         }
@@ -91,18 +92,18 @@
   }
 
   /**
-   * Calls between two processes of this node on one clients' socket: a relayed callback, or an
-   * address.
+   * Calls between the processes of this node on one clients' socket: a relayed callback, an
+   * address, or a record.
    */
   private void fromUpgradePeer(ChannelHandlerContext ctx, String path, String body) {
     try {
-      if (path.equals("/-/news")) {
-        boolean taken = admin.callback(body);
-        answer(ctx, taken ? HttpResponseStatus.NO_CONTENT : HttpResponseStatus.NOT_FOUND, "");
-      } else {
-        boolean shared = admin.announced(body);
-        answer(ctx, shared ? HttpResponseStatus.NO_CONTENT : HttpResponseStatus.NOT_FOUND, "");
-      }
+      boolean taken =
+          switch (path) {
+            case "/-/news" -> admin.callback(body);
+            case "/-/sibling" -> admin.announced(body);
+            default -> admin.recordReceived(body);
+          };
+      answer(ctx, taken ? HttpResponseStatus.NO_CONTENT : HttpResponseStatus.NOT_FOUND, "");
     } catch (BadRequestException | IllegalArgumentException bad) {
       answer(ctx, HttpResponseStatus.BAD_REQUEST, bad.getMessage() + "\n");
     }
--- a/node/src/main/java/ferngrade/http/ClientRequestHandler.java
+++ b/node/src/main/java/ferngrade/http/ClientRequestHandler.java
@@ -1,6 +1,7 @@
 package ferngrade.http;
 
 import ferngrade.dispatch.Job;
+import ferngrade.http.UpgradePeers.RelayOutcome;
 import ferngrade.node.Clock;
 import ferngrade.node.RejectionReason;
 import ferngrade.node.RequestCoordinator;
@@ -65,18 +66,18 @@
   }
 
   /**
-   * A worker's callback. While two processes share the clients' socket, one for a job that this
-   * process never had is relayed to the other. Where that fails the response is 503 and a close, so
-   * that the worker's retry comes on a new connection, which the other process may accept.
+   * A worker's callback. While processes share the clients' socket, one for a job that this process
+   * never had is relayed to the others. Where that fails the response is 503 and a close, so that
+   * the worker's retry comes on a new connection, which another process may accept.
    */
   private void callback(ClientConnectionHandler connection, WorkerCallback callback, String body) {
-    if (front.upgradePeer() != null && !coordinator.knowsOf(callback.id())) {
+    if (front.upgradePeers() != null && !coordinator.knowsOf(callback.id())) {
       front
-          .upgradePeer()
+          .upgradePeers()
           .relay(
               body,
-              status -> {
-                if (status < 0) {
+              outcome -> {
+                if (outcome == RelayOutcome.UNANSWERED) {
                   connection.respondAndClose(
                       HttpResponseStatus.SERVICE_UNAVAILABLE, "no such job here");
                 } else {
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -29,7 +29,7 @@
   private static final int BACKLOG = 1024;
 
   private final ConnectionLimits limits;
-  private final UpgradePeer upgradePeer;
+  private final UpgradePeers upgradePeers;
   private final ChannelProvider channels;
   private final Clock clock;
   private final ArrivalClock arrivals;
@@ -50,10 +50,10 @@
       Clock clock,
       ArrivalClock arrivals,
       Timers timers,
-      UpgradePeer upgradePeer,
+      UpgradePeers upgradePeers,
       ChannelProvider channels) {
     this.limits = limits;
-    this.upgradePeer = upgradePeer;
+    this.upgradePeers = upgradePeers;
     this.channels = channels;
     this.clock = clock;
     this.arrivals = arrivals;
@@ -142,13 +142,13 @@
    * close at once, so that the load balancer's new connections go elsewhere. Jobs in flight end as
    * ever.
    */
-  void drainForOperators() {
+  public void drainForOperators() {
     drainedByOperators = true;
     connections.idle().forEach(ClientConnectionHandler::closeGracefully);
   }
 
   /** Operators end the draining. */
-  void resume() {
+  public void resume() {
     drainedByOperators = false;
   }
 
@@ -179,11 +179,11 @@
   }
 
   /**
-   * The other process of this node, while two share the clients' socket; null where the socket is
-   * not shared.
+   * The other processes of this node that share the clients' socket; null where the socket is not
+   * shared.
    */
-  UpgradePeer upgradePeer() {
-    return upgradePeer;
+  UpgradePeers upgradePeers() {
+    return upgradePeers;
   }
 
   /** True if so many jobs are in flight that the connections left are reserved for callbacks. */
--- a/node/src/main/java/ferngrade/node/EndpointRegistry.java
+++ b/node/src/main/java/ferngrade/node/EndpointRegistry.java
@@ -65,12 +65,49 @@
 
   /** Puts a worker in maintenance; false if nobody has that name. */
   boolean startMaintenance(String name) {
-    return maintenance.knows(name) && changed(maintenance.take(name));
+    return mayExist(name) && changed(maintenance.take(name));
   }
 
   /** Ends a worker's maintenance; false if nobody has that name. */
   boolean endMaintenance(String name) {
-    return maintenance.knows(name) && changed(maintenance.giveBack(name, clock.now()));
+    return mayExist(name) && changed(maintenance.giveBack(name, clock.now()));
+  }
+
+  /** Before the first list any name may be that of a worker, and decisions on it must hold. */
+  private boolean mayExist(String name) {
+    return endpoints.isEmpty() || maintenance.knows(name);
+  }
+
+  /**
+   * Takes over a decision of another process of this node, with times by the wall clock.
+   *
+   * @param notBefore when the decision had not been made yet, ms on the monotonic clock: the wall
+   *     clock may have been stepped since
+   * @return false if it is known or superseded
+   */
+  boolean mergeMaintenance(MaintenanceEntry decision, double notBefore) {
+    boolean isNew =
+        maintenance.merge(
+            decision.translated(wall -> Math.max(notBefore, startTimes.toMonotonic(wall))));
+    if (isNew) {
+      changed(maintenance.inForce(decision.worker()));
+    }
+    return isNew;
+  }
+
+  /**
+   * The latest decision on this worker, with times by the wall clock; null if there has been none.
+   */
+  MaintenanceEntry maintenanceDecision(String name) {
+    MaintenanceEntry decision = maintenance.decision(name);
+    return decision == null ? null : decision.translated(startTimes::toWall);
+  }
+
+  /** The latest decision on each worker that operators have named, with times by the wall clock. */
+  List<MaintenanceEntry> maintenanceDecisions() {
+    return maintenance.decisions().stream()
+        .map(decision -> decision.translated(startTimes::toWall))
+        .toList();
   }
 
   private boolean changed(Endpoint entry) {
--- a/node/src/main/java/ferngrade/node/FileOperations.java
+++ b/node/src/main/java/ferngrade/node/FileOperations.java
@@ -8,8 +8,13 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.util.Objects;
 
-/** The operations of a file system that an atomic, durable replacement of a file needs. */
+/**
+ * The operations of a file system that small durable files need: their atomic replacement, and
+ * appends by several processes.
+ */
 public interface FileOperations {
   /** The file system of this machine. */
   FileOperations SYSTEM = new SystemFileOperations();
@@ -29,6 +34,31 @@
   /** Returns once the names in this folder are on the disk. */
   void syncFolder(Path folder) throws IOException;
 
+  /**
+   * Appends all of these bytes to a file by one write, which does not mix with those of other
+   * processes; creates the file where there is none. Returns once they are on the disk. After an
+   * error some of them may be in the file.
+   */
+  void append(Path file, ByteBuffer bytes) throws IOException;
+
+  /**
+   * Opens a file to read what others append to it; a {@link java.nio.file.NoSuchFileException} says
+   * that there is none.
+   */
+  FollowedFile follow(Path file) throws IOException;
+
+  /** A file that is read while others append to it. */
+  interface FollowedFile extends Closeable {
+    /** Its size in bytes. */
+    long size() throws IOException;
+
+    /** Reads from {@code position} on; returns the number of bytes, -1 at the end. */
+    int read(ByteBuffer into, long position) throws IOException;
+
+    /** True if the file at this path is this very file, and not one that has replaced it. */
+    boolean isAt(Path file) throws IOException;
+  }
+
   /** A file that is being written. */
   interface OutputFile extends Closeable {
     /** Writes some or all of the remaining bytes, and moves the buffer's position on by them. */
@@ -79,6 +109,49 @@
       Files.deleteIfExists(file);
     }
 
+    @Override
+    public void append(Path file, ByteBuffer bytes) throws IOException {
+      try (FileChannel channel =
+          FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
+        int length = bytes.remaining();
+        if (channel.write(bytes) < length) {
+          throw new IOException("only a part could be appended to " + file);
+        }
+        channel.force(true);
+      }
+    }
+
+    @Override
+    public FollowedFile follow(Path file) throws IOException {
+      FileChannel channel = FileChannel.open(file, StandardOpenOption.READ);
+      Object key = key(file);
+      return new FollowedFile() {
+        @Override
+        public long size() throws IOException {
+          return channel.size();
+        }
+
+        @Override
+        public int read(ByteBuffer into, long position) throws IOException {
+          return channel.read(into, position);
+        }
+
+        @Override
+        public boolean isAt(Path path) throws IOException {
+          return Objects.equals(key, key(path));
+        }
+
+        @Override
+        public void close() throws IOException {
+          channel.close();
+        }
+      };
+    }
+
+    private static Object key(Path file) throws IOException {
+      return Files.readAttributes(file, BasicFileAttributes.class).fileKey();
+    }
+
     @Override
     public void syncFolder(Path folder) throws IOException {
       try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
--- a/node/src/main/java/ferngrade/node/MaintenanceOverrides.java
+++ b/node/src/main/java/ferngrade/node/MaintenanceOverrides.java
@@ -5,29 +5,32 @@
 import ferngrade.dispatch.WorkerState;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
 import java.util.function.DoubleUnaryOperator;
 
 /**
  * The menu workers that operators have put in maintenance, applied on top of the endpoint list. The
  * dispatcher sees such a worker as draining, whatever discovery says, until operators end the
  * maintenance; it then counts as a process started at that moment, since operators restart it
- * meanwhile and it has to warm up. A set, not a count: two calls out need one call back.
+ * meanwhile and it has to warm up. A state, not a count: two calls out need one call back. Each
+ * decision is a {@link MaintenanceEntry} with a version, so that the decisions of several processes
+ * of a node merge to the same state in each.
  *
  * <p>No I/O and no clock: times come as arguments, by the node's monotonic clock, as do those of
  * the list's entries.
  */
 public final class MaintenanceOverrides {
-  private final Set<String> out = new TreeSet<>();
+  /** The latest decision on each worker that operators have named. */
+  private final Map<String, MaintenanceEntry> entries = new TreeMap<>();
 
   /**
-   * When each worker taken back returned; it counts as started then until the list reports a later
-   * start.
+   * Workers whose listed start is later than their return: operators' decisions are over for them.
    */
-  private final Map<String, Double> back = new HashMap<>();
+  private final Set<String> restarted = new HashSet<>();
 
   /** The list's own entries, as received last, by name. */
   private final Map<String, Endpoint> listed = new HashMap<>();
@@ -54,23 +57,28 @@
     if (worker.state() == WorkerState.GONE) {
       return entry;
     }
-    if (out.contains(entry.name())) {
-      return entry.with(WorkerState.DRAINING, worker.startedAt());
-    }
-    Double returned = back.get(entry.name());
-    if (returned == null) {
+    MaintenanceEntry decision = entries.get(entry.name());
+    if (decision == null) {
       return entry;
     }
-    if (worker.startedAt() >= returned) {
-      back.remove(entry.name());
+    if (decision.out()) {
+      return entry.with(WorkerState.DRAINING, worker.startedAt());
+    }
+    if (restarted.contains(entry.name()) || worker.startedAt() >= decision.returnedAt()) {
+      restarted.add(entry.name());
       return entry;
     }
-    return entry.startedAt(returned);
+    return entry.startedAt(decision.returnedAt());
+  }
+
+  private boolean isOut(String name) {
+    MaintenanceEntry decision = entries.get(name);
+    return decision != null && decision.out();
   }
 
   /** True if the list holds this worker or it is in maintenance: operators may name it. */
   public boolean knows(String name) {
-    return listed.containsKey(name) || out.contains(name);
+    return listed.containsKey(name) || isOut(name);
   }
 
   /**
@@ -78,8 +86,22 @@
    * does not hold it at present.
    */
   Endpoint take(String name) {
-    out.add(name);
-    back.remove(name);
+    put(MaintenanceEntry.out(name, nextVersion(name)));
+    return inForce(name);
+  }
+
+  private long nextVersion(String name) {
+    MaintenanceEntry decision = entries.get(name);
+    return 1 + (decision == null ? MaintenanceEntry.UNVERSIONED : decision.version());
+  }
+
+  private void put(MaintenanceEntry decision) {
+    entries.put(decision.worker(), decision);
+    restarted.remove(decision.worker());
+  }
+
+  /** The listed entry of this worker as it is in force; null if the list does not hold it. */
+  Endpoint inForce(String name) {
     Endpoint entry = listed.get(name);
     return entry == null ? null : overlaid(entry);
   }
@@ -88,16 +110,34 @@
    * Takes a worker back at {@code now}; returns the entry that is in force now, or null as above.
    */
   Endpoint giveBack(String name, double now) {
-    if (out.remove(name)) {
-      back.put(name, now);
+    if (isOut(name)) {
+      put(MaintenanceEntry.returned(name, nextVersion(name), now));
     }
-    Endpoint entry = listed.get(name);
-    return entry == null ? null : overlaid(entry);
+    return inForce(name);
+  }
+
+  /** The latest decision on this worker; null if there has been none. */
+  MaintenanceEntry decision(String name) {
+    return entries.get(name);
+  }
+
+  /** The latest decision on each worker that operators have named. */
+  List<MaintenanceEntry> decisions() {
+    return List.copyOf(entries.values());
+  }
+
+  /** Takes over a decision of another process, unless it is superseded; true if it is new. */
+  boolean merge(MaintenanceEntry decision) {
+    boolean isNew = decision.supersedes(entries.get(decision.worker()));
+    if (isNew) {
+      put(decision);
+    }
+    return isNew;
   }
 
   /** Listed workers in maintenance. */
   public int listedOut() {
-    return (int) out.stream().filter(listed::containsKey).count();
+    return (int) listed.keySet().stream().filter(this::isOut).count();
   }
 
   /** Listed workers, whatever their phase. */
@@ -125,12 +165,27 @@
 
   /** The state that a later process takes over. */
   public Saved saved() {
+    Set<String> out = new HashSet<>();
+    Map<String, Double> back = new HashMap<>();
+    for (MaintenanceEntry decision : entries.values()) {
+      if (decision.out()) {
+        out.add(decision.worker());
+      } else if (!restarted.contains(decision.worker())) {
+        back.put(decision.worker(), decision.returnedAt());
+      }
+    }
     return new Saved(out, back);
   }
 
-  /** Takes over what an earlier process saved, beside what this one has. */
+  /**
+   * Takes over what an earlier process saved, for workers on which no decision with a version is
+   * known.
+   */
   public void restore(Saved saved) {
-    out.addAll(saved.out());
-    back.putAll(saved.back());
+    saved.out().forEach(name -> merge(MaintenanceEntry.out(name, MaintenanceEntry.UNVERSIONED)));
+    saved
+        .back()
+        .forEach(
+            (name, at) -> merge(MaintenanceEntry.returned(name, MaintenanceEntry.UNVERSIONED, at)));
   }
 }
--- a/node/src/main/java/ferngrade/node/RequestCoordinator.java
+++ b/node/src/main/java/ferngrade/node/RequestCoordinator.java
@@ -257,6 +257,24 @@
     return endpoints.endMaintenance(name);
   }
 
+  /**
+   * Takes over a decision on a worker that another process of this node made, with times by the
+   * wall clock; {@code notBefore} on the monotonic clock. False if it is known or superseded.
+   */
+  public boolean mergeMaintenance(MaintenanceEntry decision, double notBefore) {
+    return endpoints.mergeMaintenance(decision, notBefore);
+  }
+
+  /** The latest decision on this worker, with times by the wall clock; null if there is none. */
+  public MaintenanceEntry maintenanceDecision(String worker) {
+    return endpoints.maintenanceDecision(worker);
+  }
+
+  /** The latest decision on each worker that operators have named, with times by the wall clock. */
+  public List<MaintenanceEntry> maintenanceDecisions() {
+    return endpoints.maintenanceDecisions();
+  }
+
   /** What is in maintenance, for a later process to take over. */
   public MaintenanceOverrides.Saved savedMaintenance() {
     return endpoints.savedMaintenance();
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -15,7 +15,7 @@
 import ferngrade.http.HttpFrontend;
 import ferngrade.http.RequestReader;
 import ferngrade.http.ShutdownBudget;
-import ferngrade.http.UpgradePeer;
+import ferngrade.http.UpgradePeers;
 import ferngrade.http.WorkerClient;
 import ferngrade.node.Clock;
 import ferngrade.node.Endpoint;
@@ -63,6 +63,9 @@
    */
   private static final int REQUESTS_PER_MB = 16;
 
+  /** How often a process looks for what other processes of the node were told, ms. */
+  private static final double REFRESH_INTERVAL = 100;
+
   /**
    * Operators' connections that may be open, beside all else: the staff makes one call at a time.
    */
@@ -80,7 +83,7 @@
   private final Timers timers;
   private final ConnectionLimits limits;
   private final HttpFrontend front;
-  private final UpgradePeer upgradePeer;
+  private final UpgradePeers upgradePeers;
   private RequestCoordinator coordinator;
   private Discovery discovery;
   private final CountDownLatch finished = new CountDownLatch(1);
@@ -147,10 +150,10 @@
                     (long) Math.ceil(millis * 1000),
                     TimeUnit.MICROSECONDS));
     this.limits = ConnectionLimits.within(config.sockets(), config.memoryMb());
-    // Only a process on an inherited socket can have another beside it.
-    this.upgradePeer =
-        platform.accepted() == null ? null : new UpgradePeer(group, timers, log, null, channels);
-    this.front = new HttpFrontend(limits, clock, arrivals, timers, upgradePeer, channels);
+    // Only a process on an inherited socket can have others beside it.
+    this.upgradePeers =
+        platform.accepted() == null ? null : new UpgradePeers(group, timers, log, channels);
+    this.front = new HttpFrontend(limits, clock, arrivals, timers, upgradePeers, channels);
   }
 
   /** Makes the dispatcher of a node, which acts through the given actions. */
@@ -273,12 +276,13 @@
             new RequestCoordinator.Surroundings(clock, timers, loop, workers, peers, log),
             requestLimits(),
             actions -> decisions.start(config, clock.now(), actions));
-    StateFolder state =
+    StateFolder folder =
         platform.state() == null
             ? null
             : new StateFolder(platform.state(), platform.files(), log, this::report);
-    if (state != null) {
-      state.restoreMaintenance(coordinator);
+    SharedState state = folder == null || config.admin() == null ? null : shareState(folder);
+    if (folder != null) {
+      folder.restoreMaintenance(coordinator);
     }
     if (config.known() != null) {
       useStoredList(config.known().members());
@@ -290,37 +294,59 @@
     RequestReader reader = new RequestReader(config.settings());
     bound.add(front.listen(group, config.listen(), platform.accepted(), coordinator, reader, log));
     if (config.admin() != null) {
-      bound.add(listenForOperators(state));
+      bound.add(listenForOperators(folder, state));
     }
     discovery = new Discovery(this::newWatch);
     discovery.watch(config.discovery());
-    workers.beforeAttempt(discovery::readPending);
+    workers.beforeAttempt(
+        () -> {
+          discovery.readPending();
+          if (state != null && upgradePeers != null) {
+            state.refresh();
+          }
+        });
     workers.identifyAs(platform.process());
     return bound;
   }
 
-  /** Begins to listen for operators' calls; {@code state} is null if no state is kept. */
-  private ChannelFuture listenForOperators(StateFolder state) {
+  /** Follows what the processes of the node tell each other, from before this one serves. */
+  private SharedState shareState(StateFolder folder) {
+    SharedState state =
+        new SharedState(
+            folder, new SharedState.Parts(coordinator, front, upgradePeers, loop, clock, log));
+    state.open();
+    if (upgradePeers != null) {
+      refreshPeriodically(state);
+    }
+    return state;
+  }
+
+  /** Also a process that sends nothing reports the metrics and the readiness of the node. */
+  private void refreshPeriodically(SharedState state) {
+    state.refresh();
+    timers.after(REFRESH_INTERVAL, () -> refreshPeriodically(state));
+  }
+
+  /**
+   * Begins to listen for operators' calls; {@code folder} and {@code state} are null if no state is
+   * kept.
+   */
+  private ChannelFuture listenForOperators(StateFolder folder, SharedState state) {
     List<String> classes = config.settings().classes().stream().map(JobClass::name).toList();
     Admin.Parts parts =
         new Admin.Parts(
-            coordinator,
-            front,
-            upgradePeer,
-            classes,
-            state == null ? null : state.maintenance(),
-            () -> reloadsOk,
-            () -> reloadsFailed);
+            coordinator, front, upgradePeers, classes, state, () -> reloadsOk, () -> reloadsFailed);
     ChannelFuture listening =
-        new Admin(parts, loop, timers, log, MAX_OPERATORS).listen(group, config.admin(), channels);
+        new Admin(parts, timers, log, MAX_OPERATORS).listen(group, config.admin(), channels);
     adminChannel = listening.channel();
-    if (state != null && upgradePeer != null) {
-      state.findEarlierProcess(upgradePeer);
+    if (state != null && upgradePeers != null) {
+      folder.findEarlierProcess(upgradePeers);
       listening.addListener(
           done -> {
             if (done.isSuccess()) {
-              state.saveAdminAddress(adminAddress());
-              upgradePeer.announce(adminAddress());
+              state.listening(adminAddress());
+              folder.saveAdminAddress(adminAddress());
+              upgradePeers.announce();
             }
           });
     }
--- /dev/null
+++ b/node/src/main/java/ferngrade/server/SharedState.java
@@ -0,0 +1,222 @@
+package ferngrade.server;
+
+import ferngrade.config.MaintenanceCodec;
+import ferngrade.config.SharedRecordCodec;
+import ferngrade.http.HttpFrontend;
+import ferngrade.http.UpgradePeers;
+import ferngrade.node.AtomicFile;
+import ferngrade.node.Clock;
+import ferngrade.node.DrainRecord;
+import ferngrade.node.MaintenanceEntry;
+import ferngrade.node.OperatorState;
+import ferngrade.node.ProcessRecord;
+import ferngrade.node.RateLimitedLog;
+import ferngrade.node.RequestCoordinator;
+import ferngrade.node.SharedLog;
+import ferngrade.node.SharedRecord;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Executor;
+
+/**
+ * What holds for the node, whichever of its processes was told: operators' maintenance and drain,
+ * and where its processes are. Every process appends what it is told to the {@link SharedLog} and
+ * takes over what the others append; entries merge by their versions. A record is also pushed to
+ * the other processes, so that it reaches them while the log cannot be written. Belongs to the
+ * event loop.
+ */
+final class SharedState implements OperatorState {
+  /**
+   * How long a process whose log cannot be opened is not ready for that, ms; it serves then without
+   * what only the log could tell, since a node that never starts is worse.
+   */
+  private static final double MAX_WAIT = 2000;
+
+  private static final long OWN_PID = ProcessHandle.current().pid();
+
+  private final SharedLog shared;
+
+  /** Maintenance as a process of an earlier release reads it. */
+  private final AtomicFile maintenanceFile;
+
+  private final RequestCoordinator coordinator;
+  private final HttpFrontend front;
+
+  /** The other processes; null where this one has its own socket. */
+  private final UpgradePeers peers;
+
+  private final Executor loop;
+  private final Clock clock;
+  private final RateLimitedLog log;
+  private double opened;
+  private DrainRecord drain = DrainRecord.NONE;
+  private InetSocketAddress ownAddress;
+
+  /** When the log was last read, ms on the clock: what it did not hold then was decided later. */
+  private double lastRefresh = Double.NEGATIVE_INFINITY;
+
+  /** What the state acts on; {@code peers} is null where the process has its own socket. */
+  record Parts(
+      RequestCoordinator coordinator,
+      HttpFrontend front,
+      UpgradePeers peers,
+      Executor loop,
+      Clock clock,
+      RateLimitedLog log) {}
+
+  /** State kept in {@code folder}. */
+  SharedState(StateFolder folder, Parts parts) {
+    this.coordinator = parts.coordinator();
+    this.front = parts.front();
+    this.peers = parts.peers();
+    this.loop = parts.loop();
+    this.clock = parts.clock();
+    this.log = parts.log();
+    this.maintenanceFile = folder.maintenance();
+    this.shared = folder.sharedLog(loop, this::apply, this::appendAll);
+  }
+
+  /** Follows the log from its beginning on; waits for the disk. */
+  void open() {
+    opened = clock.now();
+    shared.open(peers != null);
+    lastRefresh = clock.now();
+  }
+
+  /** This process takes calls at this address from now on; the others get to know. */
+  void listening(InetSocketAddress address) {
+    ownAddress = address;
+    if (peers != null) {
+      peers.own(address);
+      appendProcess();
+    }
+  }
+
+  /**
+   * Not pushed as well: an announcement tells the others the same, also those of a release before.
+   */
+  private void appendProcess() {
+    shared.append(SharedRecordCodec.write(new ProcessRecord(OWN_PID, ownAddress)), () -> {});
+  }
+
+  @Override
+  public void refresh() {
+    shared.poll();
+    lastRefresh = clock.now();
+  }
+
+  @Override
+  public void received(String record) {
+    apply(record);
+  }
+
+  @Override
+  public boolean complete() {
+    return shared.complete() || clock.now() - opened > MAX_WAIT;
+  }
+
+  private void apply(String text) {
+    SharedRecord record;
+    try {
+      record = SharedRecordCodec.read(text);
+    } catch (IllegalArgumentException malformed) {
+      log.line("shared record", "a record is ignored: " + malformed.getMessage());
+      return;
+    }
+    if (record instanceof MaintenanceEntry decision) {
+      apply(decision);
+    } else if (record instanceof DrainRecord decision) {
+      apply(decision);
+    } else if (record instanceof ProcessRecord process && peers != null) {
+      peers.at(process.operators());
+    }
+  }
+
+  private void apply(MaintenanceEntry decision) {
+    if (coordinator.mergeMaintenance(decision, lastRefresh)) {
+      log.line(
+          "menu worker "
+              + decision.worker()
+              + (decision.out() ? " taken out" : " taken back")
+              + " at another process, version "
+              + decision.version());
+    }
+  }
+
+  private void apply(DrainRecord decision) {
+    if (!decision.supersedes(drain)) {
+      return;
+    }
+    boolean changes = decision.drained() != drain.drained();
+    drain = decision;
+    if (changes) {
+      log.line(decision.drained() ? "drained at another process" : "resumed at another process");
+      enforce(decision);
+    }
+  }
+
+  private void enforce(DrainRecord decision) {
+    if (decision.drained()) {
+      front.drainForOperators();
+    } else {
+      front.resume();
+    }
+  }
+
+  @Override
+  public void storeMaintenance(String worker, Runnable stored) {
+    MaintenanceEntry decision = coordinator.maintenanceDecision(worker);
+    Runnable both = new CountDown(2, stored);
+    if (decision == null) {
+      // Taken back without ever having been out: there is nothing to tell.
+      both.run();
+    } else {
+      append(decision, both);
+    }
+    maintenanceFile.write(
+        MaintenanceCodec.write(coordinator.savedMaintenance()), () -> loop.execute(both));
+  }
+
+  @Override
+  public void drain(boolean drained) {
+    drain = drain.next(drained);
+    enforce(drain);
+    append(drain, () -> {});
+  }
+
+  private void append(SharedRecord record, Runnable stored) {
+    String text = SharedRecordCodec.write(record);
+    shared.append(text, () -> loop.execute(stored));
+    if (peers != null) {
+      peers.push(text);
+    }
+  }
+
+  /** Another file stands in the log's place: it gets all that is in force. */
+  private void appendAll() {
+    coordinator.maintenanceDecisions().forEach(each -> append(each, () -> {}));
+    if (drain.version() > 0) {
+      append(drain, () -> {});
+    }
+    if (ownAddress != null && peers != null) {
+      appendProcess();
+    }
+  }
+
+  /** Runs a task with the last of so many calls. */
+  private static final class CountDown implements Runnable {
+    private final Runnable task;
+    private int left;
+
+    CountDown(int calls, Runnable task) {
+      this.left = calls;
+      this.task = task;
+    }
+
+    @Override
+    public void run() {
+      if (--left == 0) {
+        task.run();
+      }
+    }
+  }
+}
--- a/node/src/test/java/ferngrade/node/AtomicFileTest.java
+++ b/node/src/test/java/ferngrade/node/AtomicFileTest.java
@@ -87,7 +87,7 @@
     files.fail(Operation.RENAME, FaultInjectingFileOperations.error("Input/output error"));
     write(OLD);
     attempt();
-    assertEquals(List.of(0L, AtomicFile.RETRY_MIN), pauses);
+    assertEquals(List.of(0L, BackgroundWriter.RETRY_MIN), pauses);
   }
 
   @Test
--- a/node/src/test/java/ferngrade/node/FaultInjectingFileOperations.java
+++ b/node/src/test/java/ferngrade/node/FaultInjectingFileOperations.java
@@ -145,6 +145,52 @@
     };
   }
 
+  @Override
+  public synchronized void append(Path file, ByteBuffer bytes) throws IOException {
+    Inode inode = names.get(file);
+    if (inode == null) {
+      enter(Operation.CREATE);
+      inode = new Inode();
+      names.put(file, inode);
+    }
+    while (bytes.hasRemaining()) {
+      enter(Operation.WRITE);
+      inode.content.write(bytes.get());
+    }
+    enter(Operation.SYNC);
+    inode.synced = inode.content.toByteArray();
+  }
+
+  @Override
+  public synchronized FollowedFile follow(Path file) throws IOException {
+    Inode inode = names.get(file);
+    if (inode == null) {
+      throw new NoSuchFileException(file.toString());
+    }
+    return new FollowedFile() {
+      @Override
+      public long size() {
+        return inode.content.size();
+      }
+
+      @Override
+      public int read(ByteBuffer into, long position) {
+        byte[] content = inode.content.toByteArray();
+        int length = Math.min(into.remaining(), content.length - (int) position);
+        into.put(content, (int) position, length);
+        return length;
+      }
+
+      @Override
+      public boolean isAt(Path path) {
+        return names.get(path) == inode;
+      }
+
+      @Override
+      public void close() {}
+    };
+  }
+
   @Override
   public synchronized void rename(Path from, Path to) throws IOException {
     enter(Operation.RENAME);
