Close related paths: drain, discovery, slow start, descriptors, peers; add an upgrade soak

Changed: a reload at one process moves discovery in all that watch the former address, also in one that starts (its variables are those of the first start); the grants of warming workers are divided between the processes that run (SlowStart.sharedBy, LiveProcesses); on an inherited socket a process plans with half of descriptors and memory, 64 descriptors at the least; a stopping process leaves the peers' address to the other; a starting one leaves new connections to the earlier one until it is ready (500 ms at most); a process that ends answers operators' calls that have reached it and stores what they ask; a drain ends with the node's last process. Found by the soak: 20 lines a second were used up by decisions of before the start, so the line with the operators' address was dropped; they are one line now.

--- a/dispatch/src/main/java/ferngrade/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/Dispatcher.java
@@ -52,6 +52,12 @@
   /** A message from another dispatcher. */
   void heard(double now, int from, byte[] message);
 
+  /**
+   * The host is one of {@code count} processes of one dispatcher, number {@code index} of them from
+   * 0: what is granted to the dispatcher is shared by all of them.
+   */
+  default void sharedBy(double now, int count, int index) {}
+
   /** A timer asked for by {@link Actions#timer} has run out. */
   void timer(double now, long token);
 
--- a/dispatch/src/main/java/ferngrade/dispatch/SlowStart.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/SlowStart.java
@@ -40,6 +40,11 @@
   private final SlowStartPolicy rule;
   private final int me;
   private final int dispatchers;
+
+  /** The processes of this dispatcher that run side by side, and the number of this one. */
+  private int processes = 1;
+
+  private int process;
   private final Map<Long, Account> accounts = new HashMap<>();
 
   SlowStart(SlowStartPolicy rule, int me, int dispatchers) {
@@ -48,6 +53,22 @@
     this.dispatchers = dispatchers;
   }
 
+  /**
+   * This is one of {@code count} processes of the dispatcher, number {@code index} of them from 0:
+   * each has the grants of a dispatcher of its own in a fleet of so many more. All accounts are
+   * opened anew.
+   */
+  void sharedBy(int count, int index) {
+    processes = count;
+    process = index;
+    accounts.values().forEach(account -> account.received = Double.NaN);
+  }
+
+  /** Between how many the grants of a worker are divided. */
+  int participants() {
+    return dispatchers * processes;
+  }
+
   /** A request sent to a worker: when, and its work in requests of mean work. */
   private record Sent(double at, double cost) {}
 
@@ -132,8 +153,10 @@
    */
   private void open(Account account, Worker worker, double capacity, double now) {
     double age = age(worker, now);
-    double turn = Math.floorMod(me + worker.id() * TURN_STRIDE, (long) dispatchers);
-    account.received = turn / dispatchers + grants(capacity, age / 2) * age / rule.tipMs();
+    int participants = participants();
+    long number = (long) me * processes + process;
+    double turn = Math.floorMod(number + worker.id() * TURN_STRIDE, (long) participants);
+    account.received = turn / participants + grants(capacity, age / 2) * age / rule.tipMs();
     account.receivedAt = now;
     double early =
         account.recent.stream()
@@ -148,7 +171,7 @@
   /** The grants of this dispatcher in one window, at this age of the worker. */
   private double grants(double capacity, double age) {
     double limit = rule.fallMultiple() * warmthAt(age) * capacity * rule.tipMs() / 1000;
-    return Math.max(LEAST_GRANTS, LIMIT_SHARE * limit) / dispatchers;
+    return Math.max(LEAST_GRANTS, LIMIT_SHARE * limit) / participants();
   }
 
   private double warmthAt(double age) {
--- a/dispatch/src/main/java/ferngrade/dispatch/SlowStartGate.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/SlowStartGate.java
@@ -9,19 +9,16 @@
   private final ServiceTimeEstimator serviceTimes;
   private final SlotBudget budget;
   private final FleetLoadMeter fleetLoad;
-  private final int dispatchers;
 
   SlowStartGate(
       SlowStart slowStart,
       ServiceTimeEstimator serviceTimes,
       SlotBudget budget,
-      FleetLoadMeter fleetLoad,
-      int dispatchers) {
+      FleetLoadMeter fleetLoad) {
     this.slowStart = slowStart;
     this.serviceTimes = serviceTimes;
     this.budget = budget;
     this.fleetLoad = fleetLoad;
-    this.dispatchers = dispatchers;
   }
 
   /** True unless the worker is warming up and its budget does not cover the request. */
@@ -55,7 +52,7 @@
     if (warmWorkers == 0 || serviceTimes.meanSlots() == 0) {
       return 0;
     }
-    double requests = budget.acceptedRate() / serviceTimes.meanSlots() * dispatchers;
+    double requests = budget.acceptedRate() / serviceTimes.meanSlots() * slowStart.participants();
     return requests / warmWorkers / Math.max(1, worker.group.slowness);
   }
 }
--- a/dispatch/src/main/java/ferngrade/dispatch/ThrottlingDispatcher.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/ThrottlingDispatcher.java
@@ -36,6 +36,7 @@
   private final StartDeadlines deadlines;
   private final OutlierDetector outliers;
   private final FleetLoadMeter fleetLoad;
+  private final SlowStart grants;
   private final SlowStartGate slowStart;
   private final RetryPolicy retries;
   private final HedgingPolicy hedging;
@@ -56,9 +57,9 @@
     waits = new WaitEstimator(registry, serviceTimes, budget, dispatchers);
     deadlines = new StartDeadlines(serviceTimes, waits, budget);
     outliers = new OutlierDetector(registry, serviceTimes, random);
-    SlowStart grants = new SlowStart(settings.cold(), settings.me(), dispatchers);
+    grants = new SlowStart(settings.cold(), settings.me(), dispatchers);
     fleetLoad = new FleetLoadMeter(registry, outliers, grants);
-    slowStart = new SlowStartGate(grants, serviceTimes, budget, fleetLoad, dispatchers);
+    slowStart = new SlowStartGate(grants, serviceTimes, budget, fleetLoad);
     retries = new RetryPolicy(settings.limits(), settings.roundMs());
     hedging = new HedgingPolicy(settings, registry, deadlines, retries);
     CandidateFilter filter = new CandidateFilter(retries, slowStart, outliers, deadlines, budget);
@@ -86,6 +87,11 @@
     return outliers.ejectedCount(now);
   }
 
+  @Override
+  public void sharedBy(double now, int count, int index) {
+    grants.sharedBy(count, index);
+  }
+
   @Override
   public void arrived(double now, Job job) {
     if (job.jobClass() >= settings.classes().size()) {
--- a/dispatch/src/test/java/ferngrade/dispatch/WorkerSelectorTest.java
+++ b/dispatch/src/test/java/ferngrade/dispatch/WorkerSelectorTest.java
@@ -27,7 +27,7 @@
     StartDeadlines deadlines = new StartDeadlines(serviceTimes, waits, budget);
     SlowStart grants = new SlowStart(settings.cold(), 0, 1);
     FleetLoadMeter fleetLoad = new FleetLoadMeter(registry, outliers, grants);
-    SlowStartGate slowStart = new SlowStartGate(grants, serviceTimes, budget, fleetLoad, 1);
+    SlowStartGate slowStart = new SlowStartGate(grants, serviceTimes, budget, fleetLoad);
     RetryPolicy retries = new RetryPolicy(settings.limits(), settings.roundMs());
     CandidateFilter filter = new CandidateFilter(retries, slowStart, outliers, deadlines, budget);
     CandidateCost cost = new CandidateCost(settings, registry, serviceTimes, waits);
--- a/emulator/src/main/java/ferngrade/emulator/MutantModule.java
+++ b/emulator/src/main/java/ferngrade/emulator/MutantModule.java
@@ -40,6 +40,11 @@
     };
   }
 
+  @Override
+  public void sharedBy(double now, int count, int index) {
+    whole.sharedBy(now, count, index);
+  }
+
   @Override
   public void arrived(double now, Job job) {
     whole.arrived(now, job);
--- a/experiment/src/main/java/ferngrade/experiment/FaultTestCommand.java
+++ b/experiment/src/main/java/ferngrade/experiment/FaultTestCommand.java
@@ -7,11 +7,14 @@
 /** The commands that run fault tests: members of a fleet with faults injected between them. */
 @Command(
     name = "faulttest",
-    description = "Runs members of a fleet with faults between them and checks their history.",
+    description =
+        "Runs members of a fleet, or processes of a node, with faults between them and checks what"
+            + " came of it.",
     mixinStandardHelpOptions = true,
     subcommands = {
       FaultTestRunCommand.class,
       FaultTestSwarmCommand.class,
+      FaultTestUpgradeCommand.class,
       CommandLine.HelpCommand.class
     })
 public final class FaultTestCommand implements SubCommand, Runnable {
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/DiscoveryStub.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/DiscoveryStub.java
@@ -11,6 +11,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * The discovery agent on the node's machine: each watch gets the whole list, and the list again
@@ -23,6 +25,7 @@
   private final ServerSocket listener;
   private final List<WorkerStub> workers;
   private final long origin = System.nanoTime();
+  private final Set<Socket> watches = ConcurrentHashMap.newKeySet();
 
   DiscoveryStub(List<WorkerStub> workers) throws IOException {
     this.workers = workers;
@@ -44,6 +47,7 @@
     while (!listener.isClosed()) {
       try {
         Socket watch = listener.accept();
+        watches.add(watch);
         daemon("watch", () -> serve(watch));
       } catch (IOException closed) {
         return;
@@ -74,9 +78,16 @@
       // The node has ended its watch.
     } catch (InterruptedException ending) {
       Thread.currentThread().interrupt();
+    } finally {
+      watches.remove(watch);
     }
   }
 
+  /** How many watches are open. */
+  int watches() {
+    return watches.size();
+  }
+
   private static byte[] ascii(String text) {
     return text.getBytes(StandardCharsets.US_ASCII);
   }
@@ -105,5 +116,8 @@
   @Override
   public void close() throws IOException {
     listener.close();
+    for (Socket watch : watches) {
+      watch.close();
+    }
   }
 }
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/HttpConnection.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/HttpConnection.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
@@ -75,6 +76,25 @@
     }
   }
 
+  /** True if the other side has ended the connection, which carries no call. */
+  boolean endedByPeer() {
+    try {
+      socket.setSoTimeout(1);
+      in.mark(1);
+      boolean ended = in.read() < 0;
+      in.reset();
+      if (ended) {
+        close();
+      }
+      return ended;
+    } catch (SocketTimeoutException open) {
+      return false;
+    } catch (IOException broken) {
+      close();
+      return true;
+    }
+  }
+
   /** True while another call may be written, as far as is known without reading. */
   boolean reusable() {
     return reusable;
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/Observations.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/Observations.java
@@ -16,6 +16,8 @@
   private final List<OperatorCall> calls = new ArrayList<>();
   private final List<Step> steps = new ArrayList<>();
   private final List<ResourceSample> samples = new ArrayList<>();
+  private final List<Fault> faults = new ArrayList<>();
+  private final List<String> lostCallbacks = new ArrayList<>();
 
   /** An attempt that reached a worker; {@code process} is what it said of its sender. */
   public record Send(double at, String worker, String job, String process) {}
@@ -65,6 +67,17 @@
     }
   }
 
+  /**
+   * The harness is about to do harm to a process, or has just done it: a pair of them bounds the
+   * time. Requests in work then may be lost, by no fault of the node.
+   */
+  record Fault(double at, long pid, Kind kind) {
+    enum Kind {
+      KILLED,
+      STOPPED
+    }
+  }
+
   /** What the processes of the node held together. */
   public record ResourceSample(double at, int processes, long memoryBytes, int descriptors) {}
 
@@ -89,6 +102,15 @@
     samples.add(sample);
   }
 
+  synchronized void add(Fault fault) {
+    faults.add(fault);
+  }
+
+  /** A worker has given up calling back for this job. */
+  synchronized void callbackLost(String job) {
+    lostCallbacks.add(job);
+  }
+
   /** Adds what happens now. */
   synchronized void step(long pid, String text) {
     steps.add(new Step(now(), pid, text));
@@ -114,6 +136,16 @@
     return List.copyOf(samples);
   }
 
+  /** All harm done so far. */
+  synchronized List<Fault> faults() {
+    return List.copyOf(faults);
+  }
+
+  /** The jobs for which a worker has given up calling back. */
+  public synchronized List<String> lostCallbacks() {
+    return List.copyOf(lostCallbacks);
+  }
+
   /** The timeline: steps of the harness and log lines of the processes. */
   public synchronized List<Step> steps() {
     return List.copyOf(steps);
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeRun.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeRun.java
@@ -6,6 +6,7 @@
 import ferngrade.faulttest.upgrade.Observations.Verb;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -29,6 +30,12 @@
   static final String TENANT = "tenant";
   static final String RESULT = "done ";
 
+  /** The status of a call that reached the process and was not answered in time. */
+  static final int NO_ANSWER = 0;
+
+  /** The status of a call for which nobody listened. */
+  static final int NOT_CALLED = -1;
+
   /** How long an operator waits for an answer, ms. */
   private static final int OPERATOR_TIMEOUT = 1000;
 
@@ -198,6 +205,22 @@
     writeConfiguration();
   }
 
+  /** The agent that the configuration does not name any more ends. */
+  void endFormerDiscovery() throws IOException {
+    int former = 1 - discovery;
+    discoveries.get(former).close();
+    discoveries.set(former, new DiscoveryStub(workers));
+  }
+
+  /** True once the agent that the configuration names is watched, within {@code timeout} ms. */
+  boolean watched(long timeout) throws InterruptedException {
+    double end = observations.now() + timeout;
+    while (observations.now() < end && discoveries.get(discovery).watches() == 0) {
+      Thread.sleep(READY_POLL);
+    }
+    return discoveries.get(discovery).watches() > 0;
+  }
+
   /** The processes that have not ended. */
   public List<ServingProcess> alive() {
     return launcher.alive();
@@ -220,18 +243,23 @@
     String name = verb.name().toLowerCase(java.util.Locale.ROOT);
     String path = worker == null ? "/-/" + name : "/-/menu-workers/" + worker + "/" + name;
     double calledAt = observations.now();
-    int status = 0;
+    int status = NOT_CALLED;
     InetSocketAddress operators = process.operatorsNow();
     if (operators != null) {
+      status = NO_ANSWER;
       try {
         status = HttpConnection.call(operators, "POST " + path, "", OPERATOR_TIMEOUT).status();
+      } catch (ConnectException refused) {
+        status = NOT_CALLED;
       } catch (IOException unanswered) {
         // Counts as no answer.
       }
     }
     OperatorCall call =
         new OperatorCall(verb, worker, process.pid(), calledAt, observations.now(), status);
-    observations.add(call);
+    if (status != NOT_CALLED) {
+      observations.add(call);
+    }
     observations.step(
         process.pid(),
         "operators: " + name + (worker == null ? "" : " " + worker) + " -> " + status);
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/WorkerStub.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/WorkerStub.java
@@ -102,6 +102,7 @@
           TimeUnit.MILLISECONDS);
     } else {
       observations.step(0, "callback of " + name + " for " + job + " was never answered");
+      observations.callbackLost(job);
     }
   }
 
--- a/faulttest/src/test/java/ferngrade/faulttest/upgrade/MaintenanceDuringUpgradeTest.java
+++ b/faulttest/src/test/java/ferngrade/faulttest/upgrade/MaintenanceDuringUpgradeTest.java
@@ -67,7 +67,7 @@
 
   private void assertNoViolation() throws Exception {
     load.stop();
-    List<Violation> found = UpgradeChecker.check(run.observations());
+    List<Violation> found = UpgradeChecker.check(run.observations(), false);
     String timeline =
         run.observations().steps().stream()
             .map(Observations.Step::toString)
--- a/node/src/main/java/ferngrade/config/SharedRecordCodec.java
+++ b/node/src/main/java/ferngrade/config/SharedRecordCodec.java
@@ -3,6 +3,7 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
+import ferngrade.node.DiscoveryRecord;
 import ferngrade.node.DrainRecord;
 import ferngrade.node.MaintenanceEntry;
 import ferngrade.node.ProcessRecord;
@@ -12,8 +13,9 @@
 /**
  * The text of the records that the processes of one node exchange: a JSON object in one line, by
  * its kind {@code {"worker":name,"version":n,"out":true}}, {@code
- * {"worker":name,"version":n,"returned":ms since 1970}}, {@code {"drained":true,"version":n}} or
- * {@code {"pid":n,"operators":address}}.
+ * {"worker":name,"version":n,"returned":ms since 1970}}, {@code {"drained":true,"version":n}},
+ * {@code {"discovery":address,"former":address}} or {@code
+ * {"pid":n,"operators":address,"first":true}}.
  */
 public final class SharedRecordCodec {
   private SharedRecordCodec() {}
@@ -32,14 +34,28 @@
           .add("version", drain.version())
           .toString();
     }
+    if (record instanceof DiscoveryRecord moved) {
+      return new JsonObject()
+          .add("discovery", text(moved.current()))
+          .add("former", text(moved.former()))
+          .toString();
+    }
     ProcessRecord process = (ProcessRecord) record;
-    InetSocketAddress operators = process.operators();
     return new JsonObject()
         .add("pid", process.pid())
-        .add("operators", operators.getHostString() + ":" + operators.getPort())
+        .add("operators", text(process.operators()))
+        .add("first", process.first())
         .toString();
   }
 
+  private static String text(InetSocketAddress address) {
+    return address.getHostString() + ":" + address.getPort();
+  }
+
+  private static InetSocketAddress address(JsonObject json, String field) {
+    return EndpointListParser.address(json.get(field).asString());
+  }
+
   /**
    * Reads a record's text; null for a kind that this release does not know, as a later one may
    * write.
@@ -63,7 +79,10 @@
       }
       if (json.get("operators") != null) {
         return new ProcessRecord(
-            json.get("pid").asLong(), EndpointListParser.address(json.get("operators").asString()));
+            json.get("pid").asLong(), address(json, "operators"), json.getBoolean("first", false));
+      }
+      if (json.get("discovery") != null) {
+        return new DiscoveryRecord(address(json, "former"), address(json, "discovery"));
       }
       return null;
     } catch (RuntimeException malformed) {
--- a/node/src/main/java/ferngrade/discovery/Discovery.java
+++ b/node/src/main/java/ferngrade/discovery/Discovery.java
@@ -53,6 +53,11 @@
     }
   }
 
+  /** The address that is watched; null before the first. */
+  public InetSocketAddress address() {
+    return current == null ? null : current.address();
+  }
+
   /**
    * Reads at once what the sources of the list have told and the event loop has not come to read.
    */
--- a/node/src/main/java/ferngrade/http/AcceptSwitch.java
+++ b/node/src/main/java/ferngrade/http/AcceptSwitch.java
@@ -29,6 +29,8 @@
     FULL,
     /** The next process accepts on this socket. */
     HANDED_OVER,
+    /** This process cannot serve yet, and an earlier one accepts on this socket. */
+    NOT_READY,
     /** An accept has just failed. */
     ACCEPT_FAILED
   }
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -115,6 +115,11 @@
     return (InetSocketAddress) listener.localAddress();
   }
 
+  /** Leaves new connections to an earlier process that serves, or accepts them again. */
+  public void holdAccepting(boolean hold) {
+    acceptSwitch.pause(Reason.NOT_READY, hold);
+  }
+
   // ---- Draining and shutdown ----
 
   /** True while every response closes its connection: the node or its operators drain it. */
--- a/node/src/main/java/ferngrade/node/RequestCoordinator.java
+++ b/node/src/main/java/ferngrade/node/RequestCoordinator.java
@@ -45,6 +45,8 @@
 
   private boolean readyLogged;
 
+  private Runnable whenReady = () -> {};
+
   /** The process ends: {@link #answerAllBy} has been called. */
   private boolean ending;
 
@@ -85,6 +87,11 @@
     return !endpoints.isEmpty();
   }
 
+  /** Has a task run when an endpoint list first becomes known. */
+  public void whenReady(Runnable task) {
+    whenReady = task;
+  }
+
   /** The number of requests that are pending or still have attempts in flight. */
   public int open() {
     return pending.size();
@@ -214,6 +221,7 @@
     if (!readyLogged && ready()) {
       readyLogged = true;
       log.line("ready: a worker list of " + endpoints.listed() + " is known");
+      whenReady.run();
     }
     turns.event(() -> dispatcher.members(clock.now(), kind, workerUpdates));
   }
@@ -292,6 +300,14 @@
         inFlight, endpoints.listed(), endpoints.inMaintenance() + dispatcher.excluded(clock.now()));
   }
 
+  /**
+   * This process is one of {@code count} processes of the node that run now, number {@code index}
+   * of them from 0.
+   */
+  public void sharedBy(int count, int index) {
+    turns.event(() -> dispatcher.sharedBy(clock.now(), count, index));
+  }
+
   /** A message from another node. */
   public void heard(int from, byte[] message) {
     turns.event(() -> dispatcher.heard(clock.now(), from, message));
--- a/node/src/main/java/ferngrade/node/SharedLog.java
+++ b/node/src/main/java/ferngrade/node/SharedLog.java
@@ -233,11 +233,25 @@
     writer.request(durable);
   }
 
+  /** Runs a task, on any thread, once all that was appended so far is on the disk. */
+  public void whenStored(Runnable task) {
+    synchronized (pending) {
+      if (!pending.isEmpty()) {
+        writer.request(task);
+        return;
+      }
+    }
+    task.run();
+  }
+
   private void appendPending() throws IOException {
     List<String> batch;
     synchronized (pending) {
       batch = List.copyOf(pending);
     }
+    if (batch.isEmpty()) {
+      return;
+    }
     StringBuilder text = new StringBuilder("\n");
     for (String record : batch) {
       text.append(checksum(record)).append(' ').append(record).append('\n');
--- a/node/src/main/java/ferngrade/peer/UdpPeers.java
+++ b/node/src/main/java/ferngrade/peer/UdpPeers.java
@@ -30,6 +30,7 @@
   private final ChannelProvider channels;
   private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
   private Channel channel;
+  private boolean silent;
 
   public UdpPeers(
       List<InetSocketAddress> addresses,
@@ -84,9 +85,23 @@
     return bound;
   }
 
+  /**
+   * Leaves the address to another process of this node: nothing is sent or received any more, so
+   * that the peers hear one process only, and that one hears them.
+   */
+  public void handOver() {
+    silent = true;
+    if (channel != null) {
+      channel.close();
+    }
+  }
+
   @Override
   public void tell(int peer, byte[] message) {
     InetSocketAddress to = peer < 0 ? all : peer < addresses.size() ? addresses.get(peer) : null;
+    if (silent) {
+      return;
+    }
     if (channel == null || to == null || message.length > MAX_BYTES) {
       log.line("message", "message for peer " + peer + " cannot be sent");
       return;
--- a/node/src/main/java/ferngrade/server/GracefulShutdown.java
+++ b/node/src/main/java/ferngrade/server/GracefulShutdown.java
@@ -17,18 +17,22 @@
   private final Clock clock;
   private final Timers timers;
   private final RateLimitedLog log;
+  private final Runnable handOver;
 
+  /** {@code handOver} leaves what only one process of the node can have to the others. */
   GracefulShutdown(
       HttpFrontend front,
       RequestCoordinator coordinator,
       Clock clock,
       Timers timers,
-      RateLimitedLog log) {
+      RateLimitedLog log,
+      Runnable handOver) {
     this.front = front;
     this.coordinator = coordinator;
     this.clock = clock;
     this.timers = timers;
     this.log = log;
+    this.handOver = handOver;
   }
 
   /**
@@ -41,6 +45,7 @@
   void begin(ShutdownBudget requested, double acceptUntil, Runnable whenDone) {
     log.line("stopping");
     ShutdownBudget budget = front.drain(requested);
+    handOver.run();
     coordinator.answerAllBy(budget.answersBy());
     timers.after(
         Math.min(acceptUntil, budget.acceptUntil()) - clock.now(),
--- /dev/null
+++ b/node/src/main/java/ferngrade/server/LiveProcesses.java
@@ -0,0 +1,97 @@
+package ferngrade.server;
+
+import ferngrade.node.TaskScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.function.LongPredicate;
+
+/**
+ * The processes of the node that run now, in the order in which they started. One counts from the
+ * moment it is known until the system has no process of its id any more; that is checked in the
+ * background. Belongs to the event loop.
+ */
+final class LiveProcesses {
+  /** How often it is checked which processes have ended, ms. */
+  static final long CHECK_INTERVAL = 200;
+
+  private final long own;
+  private final TaskScheduler scheduler;
+  private final Executor loop;
+  private final LongPredicate alive;
+  private final Listener listener;
+  private final List<Long> others = new ArrayList<>();
+
+  /** How many of the others have started before this one. */
+  private int earlier;
+
+  private boolean ownStarted;
+  private boolean checkScheduled;
+
+  /** Is notified when the number of processes, or the number of this one, has changed. */
+  @FunctionalInterface
+  interface Listener {
+    /** There are {@code count} processes, of which this is number {@code index} from 0. */
+    void changed(int count, int index);
+  }
+
+  /** The processes beside that with the id {@code own}; {@code alive} is called on any thread. */
+  LiveProcesses(
+      long own, TaskScheduler scheduler, Executor loop, LongPredicate alive, Listener listener) {
+    this.own = own;
+    this.scheduler = scheduler;
+    this.loop = loop;
+    this.alive = alive;
+    this.listener = listener;
+  }
+
+  /** A process has started; known ones, and those that have ended, are ignored. */
+  void started(long pid) {
+    if (pid == own) {
+      ownStarted = true;
+    } else if (!others.contains(pid) && alive.test(pid)) {
+      others.add(pid);
+      earlier += ownStarted ? 0 : 1;
+      changed();
+      checkLater();
+    }
+  }
+
+  /** True if a process beside this one runs, as far as is known. */
+  boolean othersRun() {
+    return !others.isEmpty();
+  }
+
+  private void changed() {
+    listener.changed(others.size() + 1, earlier);
+  }
+
+  private void checkLater() {
+    if (!checkScheduled) {
+      checkScheduled = true;
+      List<Long> known = List.copyOf(others);
+      scheduler.schedule(() -> check(known), CHECK_INTERVAL);
+    }
+  }
+
+  /** On the scheduler. */
+  private void check(List<Long> known) {
+    List<Long> ended = known.stream().filter(pid -> !alive.test(pid)).toList();
+    loop.execute(() -> checked(ended));
+  }
+
+  private void checked(List<Long> ended) {
+    checkScheduled = false;
+    for (Long pid : ended) {
+      int position = others.indexOf(pid);
+      others.remove(position);
+      earlier -= position < earlier ? 1 : 0;
+    }
+    if (!ended.isEmpty()) {
+      changed();
+    }
+    if (!others.isEmpty()) {
+      checkLater();
+    }
+  }
+}
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -18,6 +18,7 @@
 import ferngrade.http.UpgradePeers;
 import ferngrade.http.WorkerClient;
 import ferngrade.node.Clock;
+import ferngrade.node.DiscoveryRecord;
 import ferngrade.node.Endpoint;
 import ferngrade.node.FileOperations;
 import ferngrade.node.RateLimitedLog;
@@ -63,6 +64,28 @@
    */
   private static final int REQUESTS_PER_MB = 16;
 
+  /**
+   * The processes that an upgrade has run side by side. The node's limits hold for both together,
+   * and none of them can take back at once what it has given to clients: so each plans with its
+   * part from the start.
+   */
+  private static final int PROCESSES_OF_AN_UPGRADE = 2;
+
+  /**
+   * The fewest descriptors with which a process can serve; the least that a configuration names.
+   */
+  private static final int MIN_DESCRIPTORS = 64;
+
+  /**
+   * How long a process at the most leaves new connections to an earlier one until it can serve, ms.
+   */
+  private static final double MAX_HOLD = 500;
+
+  /**
+   * How long a process that ends waits for the disk, ms: it must not outlast its budget for that.
+   */
+  private static final double MAX_LAST_STORE = 45;
+
   /** How often a process looks for what other processes of the node were told, ms. */
   private static final double REFRESH_INTERVAL = 100;
 
@@ -82,9 +105,18 @@
   private final EventLoop loop;
   private final Timers timers;
   private final ConnectionLimits limits;
+
+  /** Between how many processes of the node its limits are divided. */
+  private final int processes;
+
   private final HttpFrontend front;
   private final UpgradePeers upgradePeers;
   private RequestCoordinator coordinator;
+  private UdpPeers peers;
+
+  /** What is shared with other processes of the node; null where operators cannot call. */
+  private SharedState sharedState;
+
   private Discovery discovery;
   private final CountDownLatch finished = new CountDownLatch(1);
   private Channel adminChannel;
@@ -110,7 +142,7 @@
     }
 
     /** On other file operations than the machine's. */
-    Platform(ServerSocketChannel accepted, Path state, FileOperations files) {
+    public Platform(ServerSocketChannel accepted, Path state, FileOperations files) {
       this(accepted, state, files, null);
     }
 
@@ -149,7 +181,10 @@
                     },
                     (long) Math.ceil(millis * 1000),
                     TimeUnit.MICROSECONDS));
-    this.limits = ConnectionLimits.within(config.sockets(), config.memoryMb());
+    this.processes = platform.accepted() == null ? 1 : PROCESSES_OF_AN_UPGRADE;
+    this.limits =
+        ConnectionLimits.within(
+            Math.max(MIN_DESCRIPTORS, config.sockets() / processes), config.memoryMb() / processes);
     // Only a process on an inherited socket can have others beside it.
     this.upgradePeers =
         platform.accepted() == null ? null : new UpgradePeers(group, timers, log, channels);
@@ -180,7 +215,7 @@
   }
 
   /** Starts a node on other channels than ordinary sockets. */
-  static NodeServer start(
+  public static NodeServer start(
       NodeConfig config,
       Platform platform,
       Clock clock,
@@ -257,9 +292,10 @@
   }
 
   private RequestCoordinator.RequestLimits requestLimits() {
-    long bytes = ((long) config.memoryMb() << 20) / 16;
+    int memoryMb = config.memoryMb() / processes;
+    long bytes = ((long) memoryMb << 20) / 16;
     return new RequestCoordinator.RequestLimits(
-        Math.min(config.mostOpen(), REQUESTS_PER_MB * config.memoryMb()),
+        Math.min(config.mostOpen(), REQUESTS_PER_MB * memoryMb),
         bytes,
         Math.min(OVERLOAD_RETRY_AFTER, config.settings().limits().retryAfterMax()));
   }
@@ -270,7 +306,8 @@
         new ConnectionPool(clock, timers, config.connectionIdle(), limits.workers());
     WorkerClient workers =
         new WorkerClient(group, clock, timers, pool, config.connectTimeout(), log, channels);
-    UdpPeers peers = new UdpPeers(config.peers(), config.peersAll(), log, channels);
+    peers = new UdpPeers(config.peers(), config.peersAll(), log, channels);
+    discovery = new Discovery(this::newWatch);
     coordinator =
         new RequestCoordinator(
             new RequestCoordinator.Surroundings(clock, timers, loop, workers, peers, log),
@@ -280,7 +317,7 @@
         platform.state() == null
             ? null
             : new StateFolder(platform.state(), platform.files(), log, this::report);
-    SharedState state = folder == null || config.admin() == null ? null : shareState(folder);
+    sharedState = folder == null || config.admin() == null ? null : shareState(folder);
     if (folder != null) {
       folder.restoreMaintenance(coordinator);
     }
@@ -292,17 +329,22 @@
       bound.add(peers.listen(group, config.peerListen(), coordinator::heard));
     }
     RequestReader reader = new RequestReader(config.settings());
+    if (sharedState != null && sharedState.othersRun()) {
+      holdAcceptingUntilReady();
+    }
     bound.add(front.listen(group, config.listen(), platform.accepted(), coordinator, reader, log));
     if (config.admin() != null) {
-      bound.add(listenForOperators(folder, state));
+      bound.add(listenForOperators(folder));
     }
-    discovery = new Discovery(this::newWatch);
     discovery.watch(config.discovery());
+    if (sharedState != null) {
+      sharedState.applyEarlierDecisions();
+    }
     workers.beforeAttempt(
         () -> {
           discovery.readPending();
-          if (state != null && upgradePeers != null) {
-            state.refresh();
+          if (sharedState != null && upgradePeers != null) {
+            sharedState.refresh();
           }
         });
     workers.identifyAs(platform.process());
@@ -313,7 +355,9 @@
   private SharedState shareState(StateFolder folder) {
     SharedState state =
         new SharedState(
-            folder, new SharedState.Parts(coordinator, front, upgradePeers, loop, clock, log));
+            folder,
+            new SharedState.Parts(
+                coordinator, front, upgradePeers, this::discoveryMoved, loop, clock, log));
     state.open();
     if (upgradePeers != null) {
       refreshPeriodically(state);
@@ -321,30 +365,48 @@
     return state;
   }
 
+  /** While an earlier process serves, this one accepts clients once it can serve them. */
+  private void holdAcceptingUntilReady() {
+    front.holdAccepting(true);
+    coordinator.whenReady(() -> front.holdAccepting(false));
+    timers.after(MAX_HOLD, () -> front.holdAccepting(false));
+  }
+
+  /** Another process of the node was told that discovery has moved. */
+  private void discoveryMoved(DiscoveryRecord moved) {
+    if (moved.former().equals(discovery.address())) {
+      log.line("another process has moved discovery to " + moved.current());
+      discovery.watch(moved.current());
+    }
+  }
+
   /** Also a process that sends nothing reports the metrics and the readiness of the node. */
   private void refreshPeriodically(SharedState state) {
     state.refresh();
     timers.after(REFRESH_INTERVAL, () -> refreshPeriodically(state));
   }
 
-  /**
-   * Begins to listen for operators' calls; {@code folder} and {@code state} are null if no state is
-   * kept.
-   */
-  private ChannelFuture listenForOperators(StateFolder folder, SharedState state) {
+  /** Begins to listen for operators' calls; {@code folder} is null if no state is kept. */
+  private ChannelFuture listenForOperators(StateFolder folder) {
     List<String> classes = config.settings().classes().stream().map(JobClass::name).toList();
     Admin.Parts parts =
         new Admin.Parts(
-            coordinator, front, upgradePeers, classes, state, () -> reloadsOk, () -> reloadsFailed);
+            coordinator,
+            front,
+            upgradePeers,
+            classes,
+            sharedState,
+            () -> reloadsOk,
+            () -> reloadsFailed);
     ChannelFuture listening =
         new Admin(parts, timers, log, MAX_OPERATORS).listen(group, config.admin(), channels);
     adminChannel = listening.channel();
-    if (state != null && upgradePeers != null) {
+    if (sharedState != null && upgradePeers != null) {
       folder.findEarlierProcess(upgradePeers);
       listening.addListener(
           done -> {
             if (done.isSuccess()) {
-              state.listening(adminAddress());
+              sharedState.listening(adminAddress());
               folder.saveAdminAddress(adminAddress());
               upgradePeers.announce();
             }
@@ -394,7 +456,11 @@
           if (!changed.settings().equals(config.settings())) {
             log.line("the settings have changed too; they count from the next start on");
           }
+          InetSocketAddress former = discovery.address();
           discovery.watch(changed.discovery());
+          if (sharedState != null && !former.equals(changed.discovery())) {
+            sharedState.moved(new DiscoveryRecord(former, changed.discovery()));
+          }
         });
   }
 
@@ -461,14 +527,37 @@
     double requested = clock.now();
     loop.execute(
         () ->
-            new GracefulShutdown(front, coordinator, clock, timers, log)
+            new GracefulShutdown(front, coordinator, clock, timers, log, this::handOver)
                 .begin(
                     ShutdownBudget.of(requested, config.settings()),
                     requested + grace,
-                    () -> {
-                      whenDone.run();
-                      finished.countDown();
-                    }));
+                    () ->
+                        finishOperatorsCalls(
+                            () -> {
+                              whenDone.run();
+                              finished.countDown();
+                            })));
     finished.await();
   }
+
+  /** Leaves to the other processes of the node what only one of them can have. */
+  private void handOver() {
+    if (platform.accepted() != null) {
+      peers.handOver();
+    }
+  }
+
+  /** Answers the operators' calls that have come, and stores what they ask for. */
+  private void finishOperatorsCalls(Runnable done) {
+    if (sharedState == null) {
+      done.run();
+      return;
+    }
+    adminChannel.close();
+    Runnable once = new CountDown(1, done);
+    // In the next turn the loop reads what has reached it, and in the one behind that all is
+    // answered.
+    loop.execute(() -> loop.execute(() -> sharedState.whenStored(once)));
+    timers.after(MAX_LAST_STORE, once);
+  }
 }
--- a/node/src/main/java/ferngrade/server/SharedState.java
+++ b/node/src/main/java/ferngrade/server/SharedState.java
@@ -6,6 +6,7 @@
 import ferngrade.http.UpgradePeers;
 import ferngrade.node.AtomicFile;
 import ferngrade.node.Clock;
+import ferngrade.node.DiscoveryRecord;
 import ferngrade.node.DrainRecord;
 import ferngrade.node.MaintenanceEntry;
 import ferngrade.node.OperatorState;
@@ -15,7 +16,10 @@
 import ferngrade.node.SharedLog;
 import ferngrade.node.SharedRecord;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 
 /**
  * What holds for the node, whichever of its processes was told: operators' maintenance and drain,
@@ -48,6 +52,17 @@
   private final Clock clock;
   private final RateLimitedLog log;
   private double opened;
+  private final LiveProcesses processes;
+
+  /** Moves discovery to an address if this process watches the other one. */
+  private final Consumer<DiscoveryRecord> discoveryMoved;
+
+  /**
+   * What was decided before this process started for as long as the node runs; null once it has
+   * been applied.
+   */
+  private List<SharedRecord> earlierDecisions = new ArrayList<>();
+
   private DrainRecord drain = DrainRecord.NONE;
   private InetSocketAddress ownAddress;
 
@@ -59,6 +74,7 @@
       RequestCoordinator coordinator,
       HttpFrontend front,
       UpgradePeers peers,
+      Consumer<DiscoveryRecord> discoveryMoved,
       Executor loop,
       Clock clock,
       RateLimitedLog log) {}
@@ -68,11 +84,19 @@
     this.coordinator = parts.coordinator();
     this.front = parts.front();
     this.peers = parts.peers();
+    this.discoveryMoved = parts.discoveryMoved();
     this.loop = parts.loop();
     this.clock = parts.clock();
     this.log = parts.log();
     this.maintenanceFile = folder.maintenance();
     this.shared = folder.sharedLog(loop, this::apply, this::appendAll);
+    this.processes =
+        new LiveProcesses(
+            OWN_PID, folder.scheduler(), loop, SharedState::isAlive, coordinator::sharedBy);
+  }
+
+  private static boolean isAlive(long pid) {
+    return ProcessHandle.of(pid).isPresent();
   }
 
   /** Follows the log from its beginning on; waits for the disk. */
@@ -80,6 +104,35 @@
     opened = clock.now();
     shared.open(peers != null);
     lastRefresh = clock.now();
+    long out = coordinator.maintenanceDecisions().stream().filter(MaintenanceEntry::out).count();
+    if (out > 0) {
+      log.line("operators' decisions taken over: " + out + " workers are out");
+    }
+  }
+
+  /** Applies what was decided on the node as a whole before this process started. */
+  void applyEarlierDecisions() {
+    if (!processes.othersRun()) {
+      forgetEarlierDecisions();
+    }
+    List<SharedRecord> decisions = earlierDecisions;
+    earlierDecisions = null;
+    decisions.forEach(this::apply);
+  }
+
+  /** Decisions on the node as a whole end with its last process: one that starts anew serves. */
+  private void forgetEarlierDecisions() {
+    for (SharedRecord record : earlierDecisions) {
+      if (record instanceof DrainRecord decision && decision.supersedes(drain)) {
+        drain = new DrainRecord(decision.version(), false);
+      }
+    }
+    earlierDecisions.clear();
+  }
+
+  /** True if another process of the node runs beside this one. */
+  boolean othersRun() {
+    return processes.othersRun();
   }
 
   /** This process takes calls at this address from now on; the others get to know. */
@@ -95,7 +148,8 @@
    * Not pushed as well: an announcement tells the others the same, also those of a release before.
    */
   private void appendProcess() {
-    shared.append(SharedRecordCodec.write(new ProcessRecord(OWN_PID, ownAddress)), () -> {});
+    boolean first = !processes.othersRun();
+    shared.append(SharedRecordCodec.write(new ProcessRecord(OWN_PID, ownAddress, first)), () -> {});
   }
 
   @Override
@@ -124,15 +178,31 @@
     }
     if (record instanceof MaintenanceEntry decision) {
       apply(decision);
-    } else if (record instanceof DrainRecord decision) {
-      apply(decision);
     } else if (record instanceof ProcessRecord process && peers != null) {
+      if (process.first() && earlierDecisions != null) {
+        forgetEarlierDecisions();
+      }
       peers.at(process.operators());
+      processes.started(process.pid());
+    } else if (record != null && earlierDecisions != null) {
+      earlierDecisions.add(record);
+    } else {
+      apply(record);
+    }
+  }
+
+  private void apply(SharedRecord record) {
+    if (record instanceof DrainRecord decision) {
+      apply(decision);
+    } else if (record instanceof DiscoveryRecord moved) {
+      discoveryMoved.accept(moved);
     }
   }
 
   private void apply(MaintenanceEntry decision) {
-    if (coordinator.mergeMaintenance(decision, lastRefresh)) {
+    boolean isNew = coordinator.mergeMaintenance(decision, lastRefresh);
+    // Those of before the start are summed up in one line.
+    if (isNew && earlierDecisions == null) {
       log.line(
           "menu worker "
               + decision.worker()
@@ -183,6 +253,19 @@
     append(drain, () -> {});
   }
 
+  /**
+   * A reload has moved discovery here. Not pushed as well: moves count in the order of the log
+   * only.
+   */
+  void moved(DiscoveryRecord record) {
+    shared.append(SharedRecordCodec.write(record), () -> {});
+  }
+
+  /** Runs a task on the event loop once all that was appended is on the disk. */
+  void whenStored(Runnable task) {
+    shared.whenStored(() -> loop.execute(task));
+  }
+
   private void append(SharedRecord record, Runnable stored) {
     String text = SharedRecordCodec.write(record);
     shared.append(text, () -> loop.execute(stored));
@@ -201,22 +284,4 @@
       appendProcess();
     }
   }
-
-  /** Runs a task with the last of so many calls. */
-  private static final class CountDown implements Runnable {
-    private final Runnable task;
-    private int left;
-
-    CountDown(int calls, Runnable task) {
-      this.left = calls;
-      this.task = task;
-    }
-
-    @Override
-    public void run() {
-      if (--left == 0) {
-        task.run();
-      }
-    }
-  }
 }
--- a/node/src/main/java/ferngrade/server/StateFolder.java
+++ b/node/src/main/java/ferngrade/server/StateFolder.java
@@ -56,6 +56,11 @@
         folder.resolve(SHARED_LOG_FILE), files, writer, loop, report, records, replaced);
   }
 
+  /** Runs what must not run on the event loop. */
+  TaskScheduler scheduler() {
+    return writer;
+  }
+
   /** Takes over the maintenance that an earlier process of this node saved, if there is any. */
   void restoreMaintenance(RequestCoordinator coordinator) {
     try {
--- /dev/null
+++ b/node/src/test/java/ferngrade/config/SharedRecordCodecTest.java
@@ -0,0 +1,49 @@
+package ferngrade.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import ferngrade.node.DiscoveryRecord;
+import ferngrade.node.DrainRecord;
+import ferngrade.node.MaintenanceEntry;
+import ferngrade.node.ProcessRecord;
+import ferngrade.node.SharedRecord;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class SharedRecordCodecTest {
+  private static final InetSocketAddress ADDRESS = EndpointListParser.address("127.0.0.1:9600");
+  private static final InetSocketAddress OTHER = EndpointListParser.address("127.0.0.1:9601");
+
+  /** Two releases of the node exchange these in an upgrade: the text must stay. */
+  private static final Map<SharedRecord, String> RECORDED =
+      Map.of(
+          new MaintenanceEntry("s-1", 4, true, 0),
+              "{\"worker\":\"s-1\",\"version\":4,\"out\":true}",
+          new MaintenanceEntry("s-1", 5, false, 1500.5),
+              "{\"worker\":\"s-1\",\"version\":5,\"returned\":1500.5}",
+          new DrainRecord(2, true), "{\"drained\":true,\"version\":2}",
+          new DiscoveryRecord(ADDRESS, OTHER),
+              "{\"discovery\":\"127.0.0.1:9601\",\"former\":\"127.0.0.1:9600\"}",
+          new ProcessRecord(4711, ADDRESS, true),
+              "{\"pid\":4711,\"operators\":\"127.0.0.1:9600\",\"first\":true}");
+
+  @Test
+  void eachRecordHasTheRecordedTextAndReadsBackTheSame() {
+    RECORDED.forEach(
+        (record, text) -> {
+          assertEquals(text, SharedRecordCodec.write(record));
+          assertEquals(record, SharedRecordCodec.read(text));
+        });
+  }
+
+  @Test
+  void kindOfALaterReleaseIsPassedOverAndNonsenseRefused() {
+    assertNull(SharedRecordCodec.read("{\"later\":1}"));
+    assertThrows(IllegalArgumentException.class, () -> SharedRecordCodec.read("{\"worker\":"));
+    assertThrows(
+        IllegalArgumentException.class, () -> SharedRecordCodec.read("{\"worker\":\"s-1\"}"));
+  }
+}
--- a/node/src/test/java/ferngrade/node/MaintenanceOverridesTest.java
+++ b/node/src/test/java/ferngrade/node/MaintenanceOverridesTest.java
@@ -10,7 +10,11 @@
 import ferngrade.dispatch.WorkerState;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class MaintenanceOverridesTest {
@@ -106,4 +110,34 @@
     assertEquals(1, later.listedOut());
     assertEquals(2, later.listedAll());
   }
+
+  @Test
+  void decisionsOfTwoProcessesMergeToTheSameInEveryOrder() {
+    List<MaintenanceEntry> decisions =
+        List.of(
+            MaintenanceEntry.out("s-1", 1),
+            MaintenanceEntry.returned("s-1", 2, 500),
+            MaintenanceEntry.out("s-1", 2),
+            MaintenanceEntry.returned("s-2", 1, 300),
+            MaintenanceEntry.out("s-2", 2),
+            MaintenanceEntry.returned("s-2", 3, 700));
+    for (int rotation = 0; rotation < decisions.size(); rotation++) {
+      List<MaintenanceEntry> order = new ArrayList<>(decisions);
+      Collections.rotate(order, rotation);
+      MaintenanceOverrides merged = new MaintenanceOverrides();
+      order.forEach(merged::merge);
+      order.forEach(each -> assertFalse(merged.merge(each), "a repeat changes nothing"));
+      // Of two decisions made at once, the one that takes the worker out counts.
+      assertEquals(MaintenanceEntry.out("s-1", 2), merged.decision("s-1"));
+      assertEquals(MaintenanceEntry.returned("s-2", 3, 700), merged.decision("s-2"));
+    }
+  }
+
+  @Test
+  void decisionWithAVersionReplacesWhatAnEarlierReleaseStored() {
+    maintenance.restore(new MaintenanceOverrides.Saved(Set.of("s-1"), Map.of()));
+    assertTrue(maintenance.merge(MaintenanceEntry.returned("s-1", 1, 500)));
+    maintenance.restore(new MaintenanceOverrides.Saved(Set.of("s-1"), Map.of()));
+    assertFalse(maintenance.decision("s-1").out());
+  }
 }
--- /dev/null
+++ b/node/src/test/java/ferngrade/node/SharedLogTest.java
@@ -0,0 +1,152 @@
+package ferngrade.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ferngrade.node.FaultInjectingFileOperations.Operation;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Queue;
+import org.junit.jupiter.api.Test;
+
+class SharedLogTest {
+  private static final Path PATH = Path.of("/shared/log");
+
+  private final FaultInjectingFileOperations files = new FaultInjectingFileOperations();
+  private final Queue<Runnable> scheduled = new ArrayDeque<>();
+  private final List<String> logged = new ArrayList<>();
+
+  /** One process's view of the log. */
+  private final class Follower {
+    final List<String> records = new ArrayList<>();
+    int replaced;
+    final SharedLog log =
+        new SharedLog(
+            PATH,
+            files,
+            (task, delay) -> scheduled.add(task),
+            Runnable::run,
+            logged::add,
+            records::add,
+            () -> replaced++);
+
+    Follower() {
+      log.open(true);
+    }
+  }
+
+  /** Runs what is scheduled now: writes, and one check of each log. */
+  private void runScheduled() {
+    for (int tasks = scheduled.size(); tasks > 0; tasks--) {
+      scheduled.remove().run();
+    }
+  }
+
+  @Test
+  void eachProcessGetsTheRecordsOfAllInOneOrder() {
+    Follower first = new Follower();
+    Follower second = new Follower();
+    first.log.append("a", () -> {});
+    second.log.append("b", () -> {});
+    runScheduled();
+    first.log.poll();
+    second.log.poll();
+    assertEquals(List.of("a", "b"), first.records);
+    assertEquals(List.of("a", "b"), second.records);
+    assertEquals(List.of("a", "b"), new Follower().records);
+  }
+
+  @Test
+  void recordIsReportedStoredOnlyOnceTheDiskHasTaken() {
+    Follower follower = new Follower();
+    List<String> stored = new ArrayList<>();
+    files.fail(Operation.SYNC, FaultInjectingFileOperations.error("Input/output error"));
+    follower.log.append("a", () -> stored.add("a"));
+    runScheduled();
+    assertEquals(List.of(), stored);
+    files.heal();
+    runScheduled();
+    assertEquals(List.of("a"), stored);
+    // What the disk has taken before the error is there too: records may repeat, none is lost.
+    follower.log.poll();
+    assertEquals("a", follower.records.get(0));
+  }
+
+  @Test
+  void recordCutShortAnywhereIsSkippedAndSpoilsNoOther() {
+    Follower whole = new Follower();
+    whole.log.append("{\"worker\":\"s-1\"}", () -> {});
+    runScheduled();
+    byte[] bytes = contents();
+    for (int cut = 0; cut < bytes.length - 1; cut++) {
+      FaultInjectingFileOperations torn = new FaultInjectingFileOperations();
+      torn.put(PATH, Arrays.copyOf(bytes, cut));
+      appendTo(torn, "next");
+      List<String> read = read(torn);
+      assertEquals(List.of("next"), read, "cut at " + cut);
+    }
+  }
+
+  private byte[] contents() {
+    try {
+      return files.read(PATH);
+    } catch (IOException missing) {
+      throw new UncheckedIOException(missing);
+    }
+  }
+
+  private static void appendTo(FaultInjectingFileOperations files, String record) {
+    Queue<Runnable> tasks = new ArrayDeque<>();
+    SharedLog writer =
+        new SharedLog(
+            PATH,
+            files,
+            (task, delay) -> tasks.add(task),
+            Runnable::run,
+            line -> {},
+            each -> {},
+            () -> {});
+    writer.append(record, () -> {});
+    tasks.remove().run();
+  }
+
+  private static List<String> read(FaultInjectingFileOperations files) {
+    List<String> records = new ArrayList<>();
+    new SharedLog(
+            PATH, files, (task, delay) -> {}, Runnable::run, line -> {}, records::add, () -> {})
+        .open(true);
+    return records;
+  }
+
+  @Test
+  void anotherFileInItsPlaceIsFollowedAndAskedToBeFilledAgain() {
+    Follower follower = new Follower();
+    follower.log.append("a", () -> {});
+    runScheduled();
+    follower.log.poll();
+    files.put(PATH, "\n".getBytes(StandardCharsets.US_ASCII));
+    runScheduled();
+    assertEquals(1, follower.replaced);
+    appendTo(files, "b");
+    follower.log.poll();
+    assertEquals(List.of("a", "b"), follower.records);
+  }
+
+  @Test
+  void logThatCannotBeOpenedIsNotCompleteUntilItCan() {
+    files.fail(Operation.CREATE, FaultInjectingFileOperations.error("No space left on device"));
+    Follower follower = new Follower();
+    assertFalse(follower.log.complete());
+    files.heal();
+    runScheduled();
+    assertTrue(follower.log.complete());
+    assertEquals(1, follower.replaced);
+  }
+}
