--- a/dispatch/src/test/java/ferngrade/dispatch/SlowStartTest.java
+++ b/dispatch/src/test/java/ferngrade/dispatch/SlowStartTest.java
@@ -137,4 +137,21 @@
     assertTrue(none.allows(worker(START), 1e6, 0, START));
     assertEquals(1, none.warmth(worker(START), START));
   }
+
+  /** Twice the processes, each of which would have a dispatcher's grants: the sum must not grow. */
+  @Test
+  void processesOfOneDispatcherShareItsGrants() {
+    double alone = sum(greedy(fleet(2), 20, 6_000, Double.NaN), 0, Double.POSITIVE_INFINITY);
+    List<SlowStart> sideBySide = new ArrayList<>();
+    for (int me = 0; me < 2; me++) {
+      for (int process = 0; process < 2; process++) {
+        SlowStart shared = new SlowStart(RULE, me, 2);
+        shared.sharedBy(2, process);
+        sideBySide.add(shared);
+      }
+    }
+    double together = sum(greedy(sideBySide, 20, 6_000, Double.NaN), 0, Double.POSITIVE_INFINITY);
+    assertTrue(together <= 1.05 * alone, together + " where one process each gets " + alone);
+    assertTrue(together >= 0.7 * alone, together + " where one process each gets " + alone);
+  }
 }
