Divide a node's limits by the processes that run, and write each log line at once

Change: LiveProcesses tells the number of processes; front and pool keep the node's limits divided by it and close idle connections when another process starts; a sole process has all. Log lines are written by one call.

--- a/node/src/main/java/ferngrade/cli/Serve.java
+++ b/node/src/main/java/ferngrade/cli/Serve.java
@@ -42,9 +42,10 @@
     RateLimitedLog log =
         new RateLimitedLog(
             clock,
+            // Written at once: several processes of a node may write to one log.
             line ->
-                System.err.printf(
-                    "%.3f %s[%d] %s%n", clock.now() / 1000, config.name(), pid, line));
+                System.err.println(
+                    String.format("%.3f %s[%d] %s", clock.now() / 1000, config.name(), pid, line)));
     log.line("starting" + (platform.accepted() != null ? " on a socket handed over" : ""));
     NodeServer server;
     try {
--- a/node/src/main/java/ferngrade/http/ClientConnections.java
+++ b/node/src/main/java/ferngrade/http/ClientConnections.java
@@ -25,7 +25,7 @@
   /** The interval between two checks of that timeout, ms. */
   private static final double SWEEP_INTERVAL = 250;
 
-  private final ConnectionLimits limits;
+  private ConnectionLimits limits;
   private final Clock clock;
   private final Timers timers;
   private final AcceptSwitch acceptSwitch;
@@ -62,6 +62,21 @@
     return new ArrayList<>(idle);
   }
 
+  /** Changes the limits; connections that carry nothing close where there are too many now. */
+  void limitTo(ConnectionLimits changed) {
+    limits = changed;
+    int excess = open.size() - limits.clients() + 1;
+    if (excess > 0) {
+      Stream.concat(
+              awaited.keySet().stream().filter(each -> each.closing() || each.resting()),
+              idle.stream())
+          .limit(excess)
+          .toList()
+          .forEach(this::evict);
+    }
+    acceptSwitch.pause(Reason.FULL, open.size() >= limits.clients());
+  }
+
   /** A connection has been accepted. */
   void opened(ClientConnectionHandler connection) {
     open.add(connection);
--- a/node/src/main/java/ferngrade/http/ConnectionPool.java
+++ b/node/src/main/java/ferngrade/http/ConnectionPool.java
@@ -40,7 +40,7 @@
   private final Clock clock;
   private final Timers timers;
   private final double maxIdleMs;
-  private final int maxOpen;
+  private int maxOpen;
   private final Map<InetSocketAddress, Deque<WorkerConnection>> idle = new HashMap<>();
   private final Map<InetSocketAddress, Learned> learned = new HashMap<>();
   private int open;
@@ -93,6 +93,14 @@
     return idle.values().stream().mapToInt(Deque::size).sum();
   }
 
+  /** Changes how many connections there may be; idle ones close where there are too many now. */
+  public void limitTo(int connections) {
+    maxOpen = connections;
+    for (int excess = open - maxOpen; excess > 0; excess--) {
+      dropOldest();
+    }
+  }
+
   /** Books a place for a new connection; false if there is none. */
   boolean reserve() {
     if (open >= maxOpen && !dropOldest()) {
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -28,7 +28,7 @@
 
   private static final int BACKLOG = 1024;
 
-  private final ConnectionLimits limits;
+  private ConnectionLimits limits;
   private final UpgradePeers upgradePeers;
   private final ChannelProvider channels;
   private final Clock clock;
@@ -115,6 +115,12 @@
     return (InetSocketAddress) listener.localAddress();
   }
 
+  /** Changes the limits of connections; jobs in flight go on. */
+  public void limitTo(ConnectionLimits changed) {
+    limits = changed;
+    connections.limitTo(changed);
+  }
+
   /** Leaves new connections to an earlier process that serves, or accepts them again. */
   public void holdAccepting(boolean hold) {
     acceptSwitch.pause(Reason.NOT_READY, hold);
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -64,13 +64,6 @@
    */
   private static final int REQUESTS_PER_MB = 16;
 
-  /**
-   * The processes that an upgrade has run side by side. The node's limits hold for both together,
-   * and none of them can take back at once what it has given to clients: so each plans with its
-   * part from the start.
-   */
-  private static final int PROCESSES_OF_AN_UPGRADE = 2;
-
   /**
    * The fewest descriptors with which a process can serve; the least that a configuration names.
    */
@@ -104,14 +97,10 @@
   private final EventLoopGroup group;
   private final EventLoop loop;
   private final Timers timers;
-  private final ConnectionLimits limits;
-
-  /** Between how many processes of the node its limits are divided. */
-  private final int processes;
-
   private final HttpFrontend front;
   private final UpgradePeers upgradePeers;
   private RequestCoordinator coordinator;
+  private ConnectionPool pool;
   private UdpPeers peers;
 
   /** What is shared with other processes of the node; null where operators cannot call. */
@@ -181,14 +170,10 @@
                     },
                     (long) Math.ceil(millis * 1000),
                     TimeUnit.MICROSECONDS));
-    this.processes = platform.accepted() == null ? 1 : PROCESSES_OF_AN_UPGRADE;
-    this.limits =
-        ConnectionLimits.within(
-            Math.max(MIN_DESCRIPTORS, config.sockets() / processes), config.memoryMb() / processes);
     // Only a process on an inherited socket can have others beside it.
     this.upgradePeers =
         platform.accepted() == null ? null : new UpgradePeers(group, timers, log, channels);
-    this.front = new HttpFrontend(limits, clock, arrivals, timers, upgradePeers, channels);
+    this.front = new HttpFrontend(limits(1), clock, arrivals, timers, upgradePeers, channels);
   }
 
   /** Makes the dispatcher of a node, which acts through the given actions. */
@@ -292,18 +277,16 @@
   }
 
   private RequestCoordinator.RequestLimits requestLimits() {
-    int memoryMb = config.memoryMb() / processes;
-    long bytes = ((long) memoryMb << 20) / 16;
+    long bytes = ((long) config.memoryMb() << 20) / 16;
     return new RequestCoordinator.RequestLimits(
-        Math.min(config.mostOpen(), REQUESTS_PER_MB * memoryMb),
+        Math.min(config.mostOpen(), REQUESTS_PER_MB * config.memoryMb()),
         bytes,
         Math.min(OVERLOAD_RETRY_AFTER, config.settings().limits().retryAfterMax()));
   }
 
   /** Puts the parts together, on the event loop; returns the sockets that are being bound. */
   private List<ChannelFuture> assemble() {
-    ConnectionPool pool =
-        new ConnectionPool(clock, timers, config.connectionIdle(), limits.workers());
+    pool = new ConnectionPool(clock, timers, config.connectionIdle(), limits(1).workers());
     WorkerClient workers =
         new WorkerClient(group, clock, timers, pool, config.connectTimeout(), log, channels);
     peers = new UdpPeers(config.peers(), config.peersAll(), log, channels);
@@ -357,7 +340,14 @@
         new SharedState(
             folder,
             new SharedState.Parts(
-                coordinator, front, upgradePeers, this::discoveryMoved, loop, clock, log));
+                coordinator,
+                front,
+                upgradePeers,
+                this::discoveryMoved,
+                this::processesChanged,
+                loop,
+                clock,
+                log));
     state.open();
     if (upgradePeers != null) {
       refreshPeriodically(state);
@@ -372,6 +362,21 @@
     timers.after(MAX_HOLD, () -> front.holdAccepting(false));
   }
 
+  /** The limits of one of so many processes of the node: they hold for all of them together. */
+  private ConnectionLimits limits(int processes) {
+    return ConnectionLimits.within(
+        Math.max(MIN_DESCRIPTORS, config.sockets() / processes), config.memoryMb() / processes);
+  }
+
+  /** What is granted to the node is divided between its processes. */
+  private void processesChanged(int count, int index) {
+    log.line(count + " processes of this node run, this is number " + index);
+    coordinator.sharedBy(count, index);
+    ConnectionLimits limits = limits(count);
+    front.limitTo(limits);
+    pool.limitTo(limits.workers());
+  }
+
   /** Another process of the node was told that discovery has moved. */
   private void discoveryMoved(DiscoveryRecord moved) {
     if (moved.former().equals(discovery.address())) {
--- a/node/src/main/java/ferngrade/server/SharedState.java
+++ b/node/src/main/java/ferngrade/server/SharedState.java
@@ -75,6 +75,7 @@
       HttpFrontend front,
       UpgradePeers peers,
       Consumer<DiscoveryRecord> discoveryMoved,
+      LiveProcesses.Listener processesChanged,
       Executor loop,
       Clock clock,
       RateLimitedLog log) {}
@@ -92,7 +93,7 @@
     this.shared = folder.sharedLog(loop, this::apply, this::appendAll);
     this.processes =
         new LiveProcesses(
-            OWN_PID, folder.scheduler(), loop, SharedState::isAlive, coordinator::sharedBy);
+            OWN_PID, folder.scheduler(), loop, SharedState::isAlive, parts.processesChanged());
   }
 
   private static boolean isAlive(long pid) {
