Do not hold a call against the node that a process's end cut off before it was read

Ruled out: a call that was read (no log line) and a kill (the process was told to end). Calls that were answered, or not answered by a process that lives, count as before.

--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/Observations.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/Observations.java
@@ -18,6 +18,7 @@
   private final List<ResourceSample> samples = new ArrayList<>();
   private final List<Fault> faults = new ArrayList<>();
   private final List<String> lostCallbacks = new ArrayList<>();
+  private final List<ProcessEnd> ends = new ArrayList<>();
 
   /** An attempt that reached a worker; {@code process} is what it said of its sender. */
   public record Send(double at, String worker, String job, String process) {}
@@ -78,6 +79,9 @@
     }
   }
 
+  /** A process has ended. */
+  record ProcessEnd(double at, long pid) {}
+
   /** What the processes of the node held together. */
   public record ResourceSample(double at, int processes, long memoryBytes, int descriptors) {}
 
@@ -106,6 +110,15 @@
     faults.add(fault);
   }
 
+  synchronized void add(ProcessEnd end) {
+    ends.add(end);
+  }
+
+  /** The processes that have ended so far. */
+  synchronized List<ProcessEnd> ends() {
+    return List.copyOf(ends);
+  }
+
   /** A worker has given up calling back for this job. */
   synchronized void callbackLost(String job) {
     lostCallbacks.add(job);
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeChecker.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeChecker.java
@@ -29,6 +29,9 @@
   /** How long after a fault connections may still break of it, ms. */
   private static final double FAULT_MARGIN = 100;
 
+  /** How late the harness may learn that a process has ended, ms. */
+  private static final double END_REPORT_DELAY = 200;
+
   private UpgradeChecker() {}
 
   /**
@@ -100,8 +103,10 @@
    */
   static List<Violation> sendsToWorkersOut(Observations observations) {
     List<Violation> found = new ArrayList<>();
+    List<OperatorCall> calls =
+        observations.calls().stream().filter(call -> !cutOff(observations, call)).toList();
     for (Send send : observations.sends()) {
-      OperatorCall last = lastBinding(observations.calls(), send);
+      OperatorCall last = lastBinding(calls, send);
       if (last != null && last.verb() == Verb.DISABLE) {
         found.add(
             new Violation(
@@ -120,6 +125,17 @@
     return found;
   }
 
+  /**
+   * True if the process that was called ended before it answered: a call that it cannot have read
+   * binds nobody.
+   */
+  private static boolean cutOff(Observations observations, OperatorCall call) {
+    return call.status() == UpgradeRun.NO_ANSWER
+        && observations.ends().stream()
+            .anyMatch(
+                end -> end.pid() == call.pid() && end.at() <= call.answeredAt() + END_REPORT_DELAY);
+  }
+
   /** The call on this send's worker that was in force when it came; null if there is none. */
   private static OperatorCall lastBinding(List<OperatorCall> calls, Send send) {
     OperatorCall binding = null;
