--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeChecker.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeChecker.java
@@ -29,9 +29,6 @@
   /** How long after a fault connections may still break of it, ms. */
   private static final double FAULT_MARGIN = 100;
 
-  /** How late the harness may learn that a process has ended, ms. */
-  private static final double END_REPORT_DELAY = 200;
-
   private UpgradeChecker() {}
 
   /**
@@ -103,8 +100,7 @@
    */
   static List<Violation> sendsToWorkersOut(Observations observations) {
     List<Violation> found = new ArrayList<>();
-    List<OperatorCall> calls =
-        observations.calls().stream().filter(call -> !cutOff(observations, call)).toList();
+    List<OperatorCall> calls = observations.calls();
     for (Send send : observations.sends()) {
       OperatorCall last = lastBinding(calls, send);
       if (last != null && last.verb() == Verb.DISABLE) {
@@ -125,17 +121,6 @@
     return found;
   }
 
-  /**
-   * True if the process that was called ended before it answered: a call that it cannot have read
-   * binds nobody.
-   */
-  private static boolean cutOff(Observations observations, OperatorCall call) {
-    return call.status() == UpgradeRun.NO_ANSWER
-        && observations.ends().stream()
-            .anyMatch(
-                end -> end.pid() == call.pid() && end.at() <= call.answeredAt() + END_REPORT_DELAY);
-  }
-
   /** The call on this send's worker that was in force when it came; null if there is none. */
   private static OperatorCall lastBinding(List<OperatorCall> calls, Send send) {
     OperatorCall binding = null;
