Trace late requests, event loop delay, refusals by limit and what a shutdown leaves open

Added, all bounded and on the loop's thread: RequestTrace (read, sent, written, accepted, ended, answered, in ms since the read; kept in the pending request, written when it is answered late, has no answer at its deadline or is cut short by a shutdown, four lines a second and the number withheld); LoopMonitor (turn lengths and timer delays in fixed buckets, and over 50 ms a line with processor time, time runnable without a processor and garbage collection, from the scheduler's own figures); the dispatcher's rejections by limit; one line a second with slice, demand, accepted rate, rejected share, held slots, size and busy part of the fleet; at the end of a shutdown what is still open, by state and age. The former line 'all accepted jobs are answered' was written whether or not it was so.

--- a/dispatch/src/main/java/ferngrade/dispatch/BudgetCycle.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/BudgetCycle.java
@@ -21,6 +21,8 @@
   private final ClassPriorities priorities;
   private final BudgetDiffusion diffusion;
   private double lastCycleAt;
+  private double demand = Double.NaN;
+  private FleetLoad load = new FleetLoad(Double.NaN, Double.NaN, Double.NaN, Double.NaN, false);
 
   /** Begins at {@code now} without a slice; the first cycle sets one. */
   BudgetCycle(DispatcherSettings settings, SlotBudget budget, double now, Actions actions) {
@@ -56,14 +58,28 @@
     diffusion.startCycle();
     quotas.endCycle(seconds);
     priorities.endCycle();
-    double demand = Arrays.stream(quotas.demands()).sum();
-    budget.endCycle(fleetLoad.measure(seconds, now), meanWork, demand, seconds, now);
+    demand = Arrays.stream(quotas.demands()).sum();
+    load = fleetLoad.measure(seconds, now);
+    budget.endCycle(load, meanWork, demand, seconds, now);
     if (peersAllowed && diffusion.peers().length > 0) {
       exchangeWithPeers();
     }
     quotas.divide(budget.slice());
   }
 
+  /** The budget as of the last cycle, with the slots that attempts hold now. */
+  BudgetState state(double heldSlots) {
+    return new BudgetState(
+        budget.slice(),
+        demand,
+        budget.acceptedRate(),
+        budget.rejectedShare(),
+        heldSlots,
+        load.size(),
+        load.busy(),
+        budget.followsLoads());
+  }
+
   private void exchangeWithPeers() {
     budget.move(diffusion.step());
     byte[] message = diffusion.message(budget.slice());
--- a/dispatch/src/main/java/ferngrade/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/Dispatcher.java
@@ -69,6 +69,11 @@
     return 0;
   }
 
+  /** The slot budget as of the last cycle; null where there is none. */
+  default BudgetState budgetState() {
+    return null;
+  }
+
   /** What the module may ask of its host; carried out at once, in the order of the calls. */
   interface Actions {
     /**
@@ -82,6 +87,11 @@
      */
     void refuse(String id, double retryAfter);
 
+    /** The same with the limit that was the cause, which a host may count. */
+    default void refuse(String id, double retryAfter, RejectionCause cause) {
+      refuse(id, retryAfter);
+    }
+
     /** Final answer: failed, which promises nothing about the effect. */
     void fail(String id);
 
--- a/dispatch/src/main/java/ferngrade/dispatch/SlotBudget.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/SlotBudget.java
@@ -90,6 +90,11 @@
     return acceptedRate;
   }
 
+  /** The smoothed share of attempts that were rejected or started late. */
+  double rejectedShare() {
+    return rejectedMean == 0 ? 0 : rejectedMean / Math.max(sentMean, rejectedMean);
+  }
+
   void attemptSent() {
     sent++;
   }
@@ -160,9 +165,8 @@
     sentMean += COUNT_WEIGHT * (sent - sentMean);
     rejectedMean += COUNT_WEIGHT * (rejected - rejectedMean);
     acceptedRate += COUNT_WEIGHT * (acceptedSlots / seconds - acceptedRate);
-    double rejectedShare = rejectedMean == 0 ? 0 : rejectedMean / Math.max(sentMean, rejectedMean);
     double max = SLACK * demand + FLOOR;
-    double change = GROW - TRIM * rejectedShare;
+    double change = GROW - TRIM * rejectedShare();
     // The start is generous until a first cut shows a limit. A dispatcher that waits for its
     // clients
     // sees no demand for some cycles; growing from the floor then rejects them on an idle fleet.
--- a/dispatch/src/main/java/ferngrade/dispatch/ThrottlingDispatcher.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/ThrottlingDispatcher.java
@@ -82,6 +82,11 @@
     return budget.slice();
   }
 
+  @Override
+  public BudgetState budgetState() {
+    return budgetCycle.state(registry.heldSlots());
+  }
+
   @Override
   public int excluded(double now) {
     return outliers.ejectedCount(now);
@@ -103,7 +108,7 @@
     if (budgetCycle.admit(job, work, now)) {
       sendOrAnswer(request, now);
     } else {
-      answer(request, BudgetCycle.PERIOD_MS);
+      answer(request, BudgetCycle.PERIOD_MS, RejectionCause.QUOTA);
     }
   }
 
@@ -113,15 +118,25 @@
   private void sendOrAnswer(PendingRequest request, double now) {
     boolean overQuota =
         !request.attempts.isEmpty() && budgetCycle.exceedsQuota(request.job.tenant());
+    boolean maySend = !overQuota && retries.maySend(request, now);
     WorkerStats worker =
-        !overQuota && retries.maySend(request, now)
-            ? selector.select(request, retries.groupAttempt(request), now)
-            : null;
+        maySend ? selector.select(request, retries.groupAttempt(request), now) : null;
     if (worker != null && !deadlines.wouldStartLate(request, worker, now)) {
       send(request, worker, now);
     } else if (request.inFlight == 0) {
-      answer(request, serviceTimes.mean());
+      answer(request, serviceTimes.mean(), notSentCause(overQuota, maySend, worker));
+    }
+  }
+
+  private static RejectionCause notSentCause(
+      boolean overQuota, boolean maySend, WorkerStats worker) {
+    if (overQuota) {
+      return RejectionCause.QUOTA;
+    }
+    if (!maySend) {
+      return RejectionCause.NO_RETRY;
     }
+    return worker == null ? RejectionCause.NO_WORKER : RejectionCause.START_TOO_LATE;
   }
 
   private void send(PendingRequest request, WorkerStats worker, double now) {
@@ -247,7 +262,7 @@
 
   private void retryOrAnswer(PendingRequest request, AttemptOutcome outcome, double now) {
     if (outcome == AttemptOutcome.TIMEOUT && retries.deadlineReached(request, now)) {
-      answer(request, 0);
+      answer(request, 0, RejectionCause.DEADLINE);
     } else if (request.inFlight == 0 && outcome == AttemptOutcome.UNUSABLE) {
       // Retried, one bad request would bring a worker under suspicion with each attempt.
       fail(request);
@@ -257,13 +272,14 @@
   }
 
   /** Rejects the request if a retry by the client is harmless, else fails it. */
-  private void answer(PendingRequest request, double retryAfter) {
+  private void answer(PendingRequest request, double retryAfter, RejectionCause cause) {
     if (!retries.mayReject(request)) {
       fail(request);
       return;
     }
     request.completed = true;
-    actions.refuse(request.job.id(), Math.min(retryAfter, settings.limits().retryAfterMax()));
+    double wait = Math.min(retryAfter, settings.limits().retryAfterMax());
+    actions.refuse(request.job.id(), wait, cause);
     requests.removeIfDone(request);
   }
 
--- a/dispatch/src/main/java/ferngrade/dispatch/WorkerRegistry.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/WorkerRegistry.java
@@ -100,6 +100,11 @@
     return local.size() + remote.size();
   }
 
+  /** The slots of all attempts from here that are in flight. */
+  double heldSlots() {
+    return heldSlots;
+  }
+
   /** The zone of a worker. */
   ZoneStats zone(WorkerStats worker) {
     return zone(worker.entry.zone());
--- a/node/src/main/java/ferngrade/http/Admin.java
+++ b/node/src/main/java/ferngrade/http/Admin.java
@@ -1,6 +1,9 @@
 package ferngrade.http;
 
 import ferngrade.config.EndpointListParser;
+import ferngrade.dispatch.RejectionCause;
+import ferngrade.node.DurationBuckets;
+import ferngrade.node.LoopMonitor;
 import ferngrade.node.NodeMetrics;
 import ferngrade.node.OperatorState;
 import ferngrade.node.RateLimitedLog;
@@ -55,6 +58,7 @@
   private final Timers timers;
   private final RateLimitedLog log;
   private final int most;
+  private final LoopMonitor loopMonitor;
   private final IntSupplier reloadsOk;
   private final IntSupplier reloadsFailed;
   private final Set<Channel> callers = new LinkedHashSet<>();
@@ -69,6 +73,7 @@
       UpgradePeers upgradePeers,
       List<String> classes,
       OperatorState state,
+      LoopMonitor loopMonitor,
       IntSupplier reloadsOk,
       IntSupplier reloadsFailed) {}
 
@@ -78,6 +83,7 @@
     this.upgradePeers = parts.upgradePeers();
     this.classes = parts.classes();
     this.state = parts.state();
+    this.loopMonitor = parts.loopMonitor();
     this.reloadsOk = parts.reloadsOk();
     this.reloadsFailed = parts.reloadsFailed();
     this.timers = timers;
@@ -263,6 +269,9 @@
     line(text, "abandoned", now.abandoned());
     lines(text, "withheld.", WithheldReason.values(), now.withheld());
     lines(text, "rejected.", RejectionReason.values(), now.rejected());
+    lines(text, "rejected_for.", RejectionCause.values(), now.rejectedFor());
+    durations(text, "loop_turn", loopMonitor.turns());
+    durations(text, "timer_delay", loopMonitor.timerDelays());
     if (upgradePeers != null) {
       lines(text, "relayed.", UpgradePeers.RelayOutcome.values(), upgradePeers.relayed());
     }
@@ -277,6 +286,11 @@
     }
   }
 
+  private static void durations(StringBuilder text, String name, DurationBuckets durations) {
+    durations.forEach((bound, count) -> line(text, name + ".le_" + bound, count));
+    line(text, name + ".max_ms", Math.round(durations.max()));
+  }
+
   private static long count(long[] counts, int jobClass) {
     return jobClass < counts.length ? counts[jobClass] : 0;
   }
--- a/node/src/main/java/ferngrade/http/ArrivalClock.java
+++ b/node/src/main/java/ferngrade/http/ArrivalClock.java
@@ -4,6 +4,7 @@
 import io.netty.channel.SelectStrategy;
 import io.netty.channel.SelectStrategyFactory;
 import io.netty.util.IntSupplier;
+import java.util.function.DoubleConsumer;
 
 /**
  * Since when bytes that are read now may have lain on this machine. A client's time for an answer
@@ -26,6 +27,7 @@
   private boolean waited;
 
   private double began = Double.NaN;
+  private DoubleConsumer turnLengths = length -> {};
 
   public ArrivalClock(Clock clock) {
     this.clock = clock;
@@ -33,6 +35,11 @@
     this.lookedBefore = looked;
   }
 
+  /** Sets who is passed the working time of each turn, ms. */
+  public void onTurn(DoubleConsumer listener) {
+    turnLengths = listener;
+  }
+
   @Override
   public SelectStrategy newSelectStrategy() {
     return this;
@@ -41,6 +48,9 @@
   @Override
   public int calculateStrategy(IntSupplier selectNow, boolean hasTasks) throws Exception {
     double now = clock.now();
+    if (!waited || !Double.isNaN(began)) {
+      turnLengths.accept(now - (waited ? began : looked));
+    }
     lookedBefore = waited && !Double.isNaN(began) ? began : looked;
     looked = now;
     began = Double.NaN;
--- a/node/src/main/java/ferngrade/http/ClientConnectionHandler.java
+++ b/node/src/main/java/ferngrade/http/ClientConnectionHandler.java
@@ -49,7 +49,7 @@
   private final PipelinedRequests pipelined;
 
   private ChannelHandlerContext context;
-  private State state = State.RESTING;
+  private ConnectionState state = ConnectionState.RESTING;
 
   /**
    * The connection closes behind the response to the last request read; what else arrives is
@@ -82,15 +82,6 @@
   /** Since when the bytes read last may have been on this machine, ms on the clock. */
   private double arrived;
 
-  private enum State {
-    /** Between requests, or one is arriving. */
-    RESTING,
-    /** A request is being handled. */
-    BUSY,
-    /** This side has closed; what still arrives is dropped, as it could not be answered. */
-    CLOSING
-  }
-
   ClientConnectionHandler(
       HttpFrontend front,
       ClientRequestHandler requests,
@@ -125,7 +116,7 @@
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-        if (state == State.CLOSING) {
+        if (state == ConnectionState.CLOSING) {
           ReferenceCountUtil.release(bytes);
           return;
         }
@@ -136,7 +127,7 @@
         ctx.fireChannelRead(bytes);
         decoding = false;
         partialRequest = decoder.holdsPartialRequest();
-        if (state == State.RESTING && partialRequest) {
+        if (state == ConnectionState.RESTING && partialRequest) {
           connections.receiving(ClientConnectionHandler.this);
         }
         respondDeferred();
@@ -147,7 +138,7 @@
   private void count(int bytes) {
     bytesRead += bytes;
     readWhileClosing += closeRequested ? bytes : 0;
-    if (state == State.BUSY && readWhileClosing > MAX_READ_WHILE_CLOSING) {
+    if (state == ConnectionState.BUSY && readWhileClosing > MAX_READ_WHILE_CLOSING) {
       context.channel().config().setAutoRead(false);
     }
   }
@@ -160,11 +151,11 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    if (state == State.CLOSING
+    if (state == ConnectionState.CLOSING
         || !ctx.channel().isActive()
         || !(message instanceof FullHttpRequest request)) {
       ReferenceCountUtil.release(message);
-    } else if (state == State.RESTING) {
+    } else if (state == ConnectionState.RESTING) {
       begin(request, arrived);
     } else if (closeRequested || !pipelined.add(request, arrived)) {
       closeRequested = true;
@@ -175,9 +166,9 @@
 
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-    if (event != BodyAggregator.TOO_LARGE || state == State.CLOSING) {
+    if (event != BodyAggregator.TOO_LARGE || state == ConnectionState.CLOSING) {
       ctx.fireUserEventTriggered(event);
-    } else if (state == State.RESTING) {
+    } else if (state == ConnectionState.RESTING) {
       rejectTooLarge();
     } else if (closeRequested) {
       pipelined.reject();
@@ -189,12 +180,12 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    if (cause instanceof IOException || state == State.CLOSING) {
+    if (cause instanceof IOException || state == ConnectionState.CLOSING) {
       ctx.close();
     } else {
       log.line("front failed", "bytes could not be decoded: " + cause);
       closeRequested = true;
-      if (state == State.RESTING) {
+      if (state == ConnectionState.RESTING) {
         busy();
         respondAndClose(HttpResponseStatus.BAD_REQUEST, "not a request in HTTP");
       }
@@ -211,7 +202,7 @@
   // ---- The request in progress ----
 
   private void busy() {
-    state = State.BUSY;
+    state = ConnectionState.BUSY;
     connections.busy(this);
   }
 
@@ -361,7 +352,7 @@
   }
 
   private void next() {
-    state = State.RESTING;
+    state = ConnectionState.RESTING;
     PipelinedRequests.Entry first = pipelined.poll();
     if (first != null) {
       begin(first);
@@ -381,28 +372,33 @@
    * timeout for that ends.
    */
   void closeGracefully() {
-    if (state == State.CLOSING) {
+    if (state == ConnectionState.CLOSING) {
       return;
     }
-    state = State.CLOSING;
+    state = ConnectionState.CLOSING;
     connections.await(this);
     ((DuplexChannel) context.channel()).shutdownOutput();
     context.channel().config().setAutoRead(true);
   }
 
+  /** What the connection is doing. */
+  ConnectionState state() {
+    return state;
+  }
+
   /** True once the last response is written and only the client's close is awaited. */
   boolean closing() {
-    return state == State.CLOSING;
+    return state == ConnectionState.CLOSING;
   }
 
   /** True while nothing of a request has arrived that is not answered yet. */
   boolean resting() {
-    return state == State.RESTING && !partialRequest;
+    return state == ConnectionState.RESTING && !partialRequest;
   }
 
   /** The awaited rest of a request, or the client's close, has not come in time. */
   void timedOut() {
-    if (state == State.CLOSING) {
+    if (state == ConnectionState.CLOSING) {
       context.close();
     } else if (partialRequest) {
       rejectPartialRequest(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come whole");
@@ -413,7 +409,7 @@
 
   /** The process ends: a request that has arrived in part is rejected. */
   void rejectUnfinished() {
-    if (state == State.RESTING && partialRequest) {
+    if (state == ConnectionState.RESTING && partialRequest) {
       rejectPartialRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, "");
     }
   }
@@ -423,7 +419,7 @@
    * arrived in part is rejected.
    */
   void evict() {
-    if (state == State.RESTING && partialRequest) {
+    if (state == ConnectionState.RESTING && partialRequest) {
       rejectPartialRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, "");
     } else {
       context.close();
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -15,6 +15,8 @@
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.util.EnumMap;
+import java.util.Map;
 
 /**
  * The address to which clients send jobs and workers their callbacks. It listens, owns the counts
@@ -184,6 +186,13 @@
 
   // ---- What the connections report ----
 
+  /** How many client connections are open, by their state. */
+  public Map<ConnectionState, Integer> openConnections() {
+    Map<ConnectionState, Integer> counts = new EnumMap<>(ConnectionState.class);
+    connections.open().forEach(each -> counts.merge(each.state(), 1, Integer::sum));
+    return counts;
+  }
+
   /** The open connections of this frontend. */
   ClientConnections connections() {
     return connections;
--- a/node/src/main/java/ferngrade/node/Attempt.java
+++ b/node/src/main/java/ferngrade/node/Attempt.java
@@ -18,6 +18,15 @@
   boolean written;
   boolean ended;
 
+  /** When it was written whole, accepted and ended, ms on the clock; NaN before that. */
+  double writtenAt = Double.NaN;
+
+  double acceptedAt = Double.NaN;
+  double endedAt = Double.NaN;
+
+  /** How it ended; null before that. */
+  AttemptOutcome outcome;
+
   /** The worker has sent a callback about it. */
   boolean calledBack;
 
@@ -36,8 +45,10 @@
   }
 
   /** The attempt has ended; its timeouts are cancelled. */
-  void ended(AttemptOutcome outcome) {
+  void ended(AttemptOutcome outcome, double now) {
     ended = true;
+    endedAt = now;
+    this.outcome = outcome;
     neverRan = outcome.neverRan;
     doubtful =
         written
--- a/node/src/main/java/ferngrade/node/AttemptRunner.java
+++ b/node/src/main/java/ferngrade/node/AttemptRunner.java
@@ -149,7 +149,7 @@
   /** Ends an attempt and reports that; does nothing for one that has ended. */
   void end(Attempt attempt, AttemptOutcome outcome, LoadReport report) {
     if (!attempt.ended) {
-      attempt.ended(outcome);
+      attempt.ended(outcome, clock.now());
       attempt.request.attemptsInFlight--;
       listener.ended(attempt, outcome, report);
     }
@@ -182,11 +182,13 @@
     @Override
     public void written() {
       attempt.written = true;
+      attempt.writtenAt = clock.now();
       metrics.attempt(attempt.number);
     }
 
     @Override
     public void taken() {
+      attempt.acceptedAt = clock.now();
       attempt.acceptance.cancel();
     }
 
--- /dev/null
+++ b/node/src/main/java/ferngrade/node/BudgetReporter.java
@@ -0,0 +1,78 @@
+package ferngrade.node;
+
+import ferngrade.dispatch.BudgetState;
+import ferngrade.dispatch.RejectionCause;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * Logs the slot budget and the rejections of each second in which requests came, as one line of
+ * {@code name=value} pairs that a program can plot. Belongs to the loop's thread.
+ */
+public final class BudgetReporter {
+  /** How often a line is written, ms. */
+  private static final double INTERVAL = 1000;
+
+  private final RequestCoordinator coordinator;
+  private final Timers timers;
+  private final RateLimitedLog log;
+  private long lastAnswered;
+  private Map<RejectionCause, Long> lastRejected = Map.of();
+
+  /** Reports on the requests of {@code coordinator}. */
+  public BudgetReporter(RequestCoordinator coordinator, Timers timers, RateLimitedLog log) {
+    this.coordinator = coordinator;
+    this.timers = timers;
+    this.log = log;
+  }
+
+  /** Begins to report; it goes on from there by itself. */
+  public void start() {
+    timers.after(INTERVAL, this::report);
+  }
+
+  private void report() {
+    NodeMetrics.Snapshot metrics = coordinator.metrics();
+    long answered = metrics.answered();
+    if (answered != lastAnswered || metrics.inFlight() > 0) {
+      log.line(describe(metrics, answered - lastAnswered));
+    }
+    lastAnswered = answered;
+    lastRejected = metrics.rejectedFor();
+    timers.after(INTERVAL, this::report);
+  }
+
+  private String describe(NodeMetrics.Snapshot metrics, long answers) {
+    StringBuilder line = new StringBuilder(256);
+    line.append("budget answered=").append(answers);
+    line.append(" in_flight=").append(metrics.inFlight());
+    for (RejectionCause cause : RejectionCause.values()) {
+      long count = metrics.rejectedFor().getOrDefault(cause, 0L);
+      long before = lastRejected.getOrDefault(cause, 0L);
+      if (count > before) {
+        String name = cause.name().toLowerCase(Locale.ROOT);
+        line.append(" rejected_").append(name).append('=').append(count - before);
+      }
+    }
+    BudgetState budget = coordinator.budgetState();
+    if (budget != null) {
+      line.append(describe(budget));
+    }
+    return line.toString();
+  }
+
+  private static String describe(BudgetState budget) {
+    return String.format(
+        Locale.ROOT,
+        " slice=%.1f demand=%.1f accepted=%.1f rejected_share=%.3f held=%.0f size=%.1f busy=%.1f"
+            + " learned_from=%s",
+        budget.slice(),
+        budget.demand(),
+        budget.accepted(),
+        budget.rejectedShare(),
+        budget.heldSlots(),
+        budget.fleetSize(),
+        budget.fleetBusy(),
+        budget.followsLoads() ? "listed-loads" : "own-attempts");
+  }
+}
--- a/node/src/main/java/ferngrade/node/NodeMetrics.java
+++ b/node/src/main/java/ferngrade/node/NodeMetrics.java
@@ -1,5 +1,6 @@
 package ferngrade.node;
 
+import ferngrade.dispatch.RejectionCause;
 import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.Map;
@@ -20,6 +21,7 @@
   private long abandoned;
   private final Map<WithheldReason, Long> withheld = new EnumMap<>(WithheldReason.class);
   private final Map<RejectionReason, Long> rejected = new EnumMap<>(RejectionReason.class);
+  private final Map<RejectionCause, Long> rejectedFor = new EnumMap<>(RejectionCause.class);
 
   /**
    * A snapshot; {@code inFlight} are jobs taken and not ended, {@code excluded} listed workers
@@ -37,7 +39,15 @@
       long retries,
       long abandoned,
       Map<WithheldReason, Long> withheld,
-      Map<RejectionReason, Long> rejected) {}
+      Map<RejectionReason, Long> rejected,
+      Map<RejectionCause, Long> rejectedFor) {
+    /** All final answers of any kind. */
+    long answered() {
+      return Arrays.stream(served).sum()
+          + Arrays.stream(refused).sum()
+          + Arrays.stream(failed).sum();
+    }
+  }
 
   void served(int jobClass) {
     served = counted(served, jobClass);
@@ -52,6 +62,11 @@
     failed = counted(failed, jobClass);
   }
 
+  /** The dispatcher rejects a request for this cause. */
+  void rejectedFor(RejectionCause cause) {
+    rejectedFor.merge(cause, 1L, Long::sum);
+  }
+
   /** An attempt was written; {@code number} counts those of its request from 0. */
   void attempt(int number) {
     attempts++;
@@ -84,6 +99,7 @@
         retries,
         abandoned,
         Map.copyOf(withheld),
-        Map.copyOf(rejected));
+        Map.copyOf(rejected),
+        Map.copyOf(rejectedFor));
   }
 }
--- a/node/src/main/java/ferngrade/node/PendingRequest.java
+++ b/node/src/main/java/ferngrade/node/PendingRequest.java
@@ -16,36 +16,66 @@
   Timers.Timer guard;
   private final ResponseHandler reply;
   private final NodeMetrics metrics;
-  private boolean completed;
+  private final Clock clock;
+
+  /** When it was read whole, ms on the clock. */
+  final double readAt;
+
+  /** When it was answered; NaN before that. */
+  private double answeredAt = Double.NaN;
+
+  /** Null before it is answered. */
+  private FinalAnswer answer;
 
   /** The final answer goes to {@code reply}, and is counted in {@code metrics}. */
-  PendingRequest(Job job, JobRequest call, ResponseHandler reply, NodeMetrics metrics) {
+  PendingRequest(
+      Job job, JobRequest call, ResponseHandler reply, NodeMetrics metrics, Clock clock) {
     this.job = job;
     this.call = call;
     this.reply = reply;
     this.metrics = metrics;
+    this.clock = clock;
+    this.readAt = clock.now();
+  }
+
+  /** The final answer; null before there is one. */
+  FinalAnswer answer() {
+    return answer;
+  }
+
+  /** When it was answered, ms on the clock; NaN before that. */
+  double answeredAt() {
+    return answeredAt;
+  }
+
+  /** True if the answer came after the client's deadline. */
+  boolean answeredLate() {
+    return answer != FinalAnswer.ABANDONED && answeredAt > job.due();
   }
 
   boolean completed() {
-    return completed;
+    return answer != null;
   }
 
   /** Completes the request: true for the first caller only, who owes the final answer. */
-  private boolean complete() {
-    boolean first = !completed;
-    completed = true;
-    return first;
+  private boolean complete(FinalAnswer with) {
+    if (answer != null) {
+      return false;
+    }
+    answer = with;
+    answeredAt = clock.now();
+    return true;
   }
 
   void served(String result) {
-    if (complete()) {
+    if (complete(FinalAnswer.SERVED)) {
       metrics.served(job.jobClass());
       reply.served(result);
     }
   }
 
   void refused(double retryAfter, RejectionReason reason) {
-    if (complete()) {
+    if (complete(FinalAnswer.REJECTED)) {
       metrics.refused(job.jobClass(), reason);
       reply.refused(retryAfter);
     }
@@ -53,7 +83,7 @@
 
   /** True if this was the final answer. */
   boolean failed() {
-    boolean first = complete();
+    boolean first = complete(FinalAnswer.FAILED);
     if (first) {
       metrics.failed(job.jobClass());
       reply.failed();
@@ -78,7 +108,7 @@
   /** The client has gone; there is nobody to answer. */
   void abandoned() {
     metrics.abandoned();
-    completed = true;
+    complete(FinalAnswer.ABANDONED);
   }
 
   /** The attempt that a callback of this worker can be about; null if there is none. */
--- a/node/src/main/java/ferngrade/node/RequestCoordinator.java
+++ b/node/src/main/java/ferngrade/node/RequestCoordinator.java
@@ -1,12 +1,15 @@
 package ferngrade.node;
 
 import ferngrade.dispatch.AttemptOutcome;
+import ferngrade.dispatch.BudgetState;
 import ferngrade.dispatch.Dispatcher;
 import ferngrade.dispatch.Dispatcher.Actions;
 import ferngrade.dispatch.EndpointListUpdate;
 import ferngrade.dispatch.Job;
 import ferngrade.dispatch.LoadReport;
+import ferngrade.dispatch.RejectionCause;
 import ferngrade.dispatch.Worker;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +42,7 @@
   private final Map<String, PendingRequest> pending = new HashMap<>();
   private final RecentIds finished;
   private final NodeMetrics metrics = new NodeMetrics();
+  private final TraceLog traces;
 
   /** Bytes of the bodies of the pending requests. */
   private long bytes;
@@ -74,6 +78,7 @@
     this.peers = around.peers();
     this.log = around.log();
     this.limits = limits;
+    this.traces = new TraceLog(clock, log);
     this.finished = new RecentIds(limits.requests());
     this.turns = new TurnQueue(around.loop(), log);
     this.endpoints = new EndpointRegistry(clock, this::endpointsChanged);
@@ -112,7 +117,7 @@
       rejectForCapacity(job, reply);
       return true;
     }
-    PendingRequest request = new PendingRequest(job, call, reply, metrics);
+    PendingRequest request = new PendingRequest(job, call, reply, metrics, clock);
     pending.put(job.id(), request);
     bytes += call.body().length;
     request.guard = timers.after(job.due() - clock.now() + GUARD, () -> overdue(request));
@@ -150,6 +155,21 @@
             });
   }
 
+  /** The requests without a final answer, by what they wait for and the age of the oldest, ms. */
+  public Map<RequestState, OpenRequests> openByState() {
+    Map<RequestState, OpenRequests> open = new EnumMap<>(RequestState.class);
+    double now = clock.now();
+    for (PendingRequest request : pending.values()) {
+      if (!request.completed()) {
+        open.merge(
+            RequestTrace.state(request),
+            new OpenRequests(1, now - request.readAt),
+            OpenRequests::plus);
+      }
+    }
+    return open;
+  }
+
   /** The client of this request has gone. */
   public void clientGone(String id) {
     PendingRequest request = pending.get(id);
@@ -293,6 +313,11 @@
     endpoints.restoreMaintenance(saved);
   }
 
+  /** The dispatcher's slot budget; null where it has none. */
+  public BudgetState budgetState() {
+    return dispatcher.budgetState();
+  }
+
   /** The metrics for operators, as of now. */
   public NodeMetrics.Snapshot metrics() {
     int inFlight = (int) pending.values().stream().filter(request -> !request.completed()).count();
@@ -320,7 +345,7 @@
       // The process may have been paused: attempts whose timeouts are due end in this turn, too.
       turns.event(() -> cutShort(request));
     } else if (request.failed()) {
-      log.line("request " + request.job.id() + " had no answer at its deadline");
+      traces.write(request, "no-answer-at-deadline");
       turns.event(
           () -> {
             dispatcher.abandoned(clock.now(), request.job.id());
@@ -339,6 +364,7 @@
     // None is begun or written completely from here on; only then is it known which have been.
     running.forEach(each -> each.sending.giveUp(() -> {}));
     request.givenUp();
+    traces.write(request, "cut-short-by-shutdown");
     dispatcher.abandoned(clock.now(), request.job.id());
     running.forEach(
         each ->
@@ -354,6 +380,9 @@
         && request.attemptsInFlight == 0
         && pending.remove(request.job.id(), request)) {
       request.guard.cancel();
+      if (request.answeredLate() && request.answer() != FinalAnswer.FAILED) {
+        traces.write(request, "answered-late");
+      }
       finished.add(request.job.id());
       bytes -= request.call.body().length;
     }
@@ -418,6 +447,12 @@
       answer(id, request -> request.refused(retryAfter, RejectionReason.DISPATCHER));
     }
 
+    @Override
+    public void refuse(String id, double retryAfter, RejectionCause cause) {
+      metrics.rejectedFor(cause);
+      refuse(id, retryAfter);
+    }
+
     @Override
     public void fail(String id) {
       answer(id, PendingRequest::failed);
--- a/node/src/main/java/ferngrade/node/Timers.java
+++ b/node/src/main/java/ferngrade/node/Timers.java
@@ -10,6 +10,7 @@
 public final class Timers {
   private final Clock clock;
   private final Waker waker;
+  private DelayListener delays = delay -> {};
   private final NavigableSet<Timer> queue = new TreeSet<>();
   private long sequence;
   private double wakeAt = Double.POSITIVE_INFINITY;
@@ -21,6 +22,13 @@
     void wakeAfter(double millis, Runnable run);
   }
 
+  /** Is notified how late timers run. */
+  @FunctionalInterface
+  public interface DelayListener {
+    /** The earliest of the timers that run now was due so many ms ago. */
+    void delayed(double millis);
+  }
+
   /** One timer, which can be called off. */
   public final class Timer implements Comparable<Timer> {
     private final double due;
@@ -50,6 +58,11 @@
     this.waker = waker;
   }
 
+  /** Sets who is notified of delays. */
+  public void onDelay(DelayListener listener) {
+    delays = listener;
+  }
+
   /**
    * Runs the task after this many milliseconds, at once in the next {@link #run} if they are none.
    */
@@ -67,6 +80,9 @@
   public void run() {
     wakeAt = Double.POSITIVE_INFINITY;
     double now = clock.now();
+    if (!queue.isEmpty() && queue.first().due <= now) {
+      delays.delayed(now - queue.first().due);
+    }
     long set = sequence;
     try {
       while (!queue.isEmpty() && queue.first().due <= now && queue.first().order < set) {
--- a/node/src/main/java/ferngrade/server/GracefulShutdown.java
+++ b/node/src/main/java/ferngrade/server/GracefulShutdown.java
@@ -6,6 +6,7 @@
 import ferngrade.node.RateLimitedLog;
 import ferngrade.node.RequestCoordinator;
 import ferngrade.node.Timers;
+import java.util.Locale;
 
 /**
  * Stops a node in order, on its event loop: drains its connections, answers all jobs within the
@@ -53,9 +54,39 @@
           log.line("no more jobs are accepted");
           front.finish(
               () -> {
-                log.line("all accepted jobs are answered");
+                logEnd(budget);
                 whenDone.run();
               });
         });
   }
+
+  /** What was still open when the shutdown ended, by state and age. */
+  private void logEnd(ShutdownBudget budget) {
+    StringBuilder open = new StringBuilder();
+    coordinator
+        .openByState()
+        .forEach(
+            (state, requests) ->
+                open.append(
+                    String.format(
+                        Locale.ROOT,
+                        ", %d requests %s, the oldest %.0f ms",
+                        requests.count(),
+                        state,
+                        requests.oldest())));
+    front
+        .openConnections()
+        .forEach(
+            (state, count) ->
+                open.append(
+                    String.format(Locale.ROOT, ", %d client connections %s", count, state)));
+    log.line(
+        String.format(
+            Locale.ROOT,
+            "shutdown ends %.0f ms before its budget%s",
+            budget.end() - clock.now(),
+            open.isEmpty()
+                ? ", all accepted jobs are answered"
+                : ", still open: " + open.substring(2)));
+  }
 }
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -17,10 +17,12 @@
 import ferngrade.http.ShutdownBudget;
 import ferngrade.http.UpgradePeers;
 import ferngrade.http.WorkerClient;
+import ferngrade.node.BudgetReporter;
 import ferngrade.node.Clock;
 import ferngrade.node.DiscoveryRecord;
 import ferngrade.node.Endpoint;
 import ferngrade.node.FileOperations;
+import ferngrade.node.LoopMonitor;
 import ferngrade.node.RateLimitedLog;
 import ferngrade.node.RequestCoordinator;
 import ferngrade.node.Timers;
@@ -97,6 +99,7 @@
   private final EventLoopGroup group;
   private final EventLoop loop;
   private final Timers timers;
+  private final LoopMonitor loopMonitor;
   private final HttpFrontend front;
   private final UpgradePeers upgradePeers;
   private RequestCoordinator coordinator;
@@ -170,6 +173,9 @@
                     },
                     (long) Math.ceil(millis * 1000),
                     TimeUnit.MICROSECONDS));
+    this.loopMonitor = new LoopMonitor(clock, log);
+    arrivals.onTurn(loopMonitor::turnEnded);
+    timers.onDelay(loopMonitor::timerDelayed);
     // Only a process on an inherited socket can have others beside it.
     this.upgradePeers =
         platform.accepted() == null ? null : new UpgradePeers(group, timers, log, channels);
@@ -331,6 +337,7 @@
           }
         });
     workers.identifyAs(platform.process());
+    new BudgetReporter(coordinator, timers, log).start();
     return bound;
   }
 
@@ -401,6 +408,7 @@
             upgradePeers,
             classes,
             sharedState,
+            loopMonitor,
             () -> reloadsOk,
             () -> reloadsFailed);
     ChannelFuture listening =
