Add a fault test that shifts load to a new process beside busy ones

Workers of the upgrade runs get slots, a queue and faults of their own, and count what they have in work. IdleCapacityChecker judges from outside: no rejections for more than 1 s on end while the workers' own count stands under a third of their slots; the bound is the aim that idle capacity is used.

--- a/experiment/src/main/java/ferngrade/experiment/FaultTestCommand.java
+++ b/experiment/src/main/java/ferngrade/experiment/FaultTestCommand.java
@@ -15,6 +15,7 @@
       FaultTestRunCommand.class,
       FaultTestSwarmCommand.class,
       FaultTestUpgradeCommand.class,
+      FaultTestLoadShiftCommand.class,
       CommandLine.HelpCommand.class
     })
 public final class FaultTestCommand implements SubCommand, Runnable {
--- /dev/null
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/BusyProcesses.java
@@ -0,0 +1,34 @@
+package ferngrade.faulttest.upgrade;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Processes that use all the processor time they get, until they are closed or their time is up.
+ */
+final class BusyProcesses implements AutoCloseable {
+  private static final String LOOP = "my $end = time + shift; 1 while time < $end;";
+
+  private final List<Process> processes = new ArrayList<>();
+
+  /** Starts {@code count} of them, which end by themselves after {@code seconds}. */
+  BusyProcesses(int count, int seconds) throws IOException {
+    for (int i = 0; i < count; i++) {
+      processes.add(
+          new ProcessBuilder("perl", "-e", LOOP, Integer.toString(seconds))
+              .redirectErrorStream(true)
+              .start());
+    }
+  }
+
+  /** How many there are. */
+  int count() {
+    return processes.size();
+  }
+
+  @Override
+  public void close() {
+    processes.forEach(Process::destroyForcibly);
+  }
+}
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/Observations.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/Observations.java
@@ -18,7 +18,7 @@
   private final List<ResourceSample> samples = new ArrayList<>();
   private final List<Fault> faults = new ArrayList<>();
   private final List<String> lostCallbacks = new ArrayList<>();
-  private final List<ProcessEnd> ends = new ArrayList<>();
+  private final List<Utilisation> utilisations = new ArrayList<>();
 
   /** An attempt that reached a worker; {@code process} is what it said of its sender. */
   public record Send(double at, String worker, String job, String process) {}
@@ -79,8 +79,8 @@
     }
   }
 
-  /** A process has ended. */
-  record ProcessEnd(double at, long pid) {}
+  /** The jobs in work at all workers, by their own count, of the slots that they have. */
+  record Utilisation(double at, int inWork, int slots) {}
 
   /** What the processes of the node held together. */
   public record ResourceSample(double at, int processes, long memoryBytes, int descriptors) {}
@@ -110,13 +110,13 @@
     faults.add(fault);
   }
 
-  synchronized void add(ProcessEnd end) {
-    ends.add(end);
+  synchronized void add(Utilisation utilisation) {
+    utilisations.add(utilisation);
   }
 
-  /** The processes that have ended so far. */
-  synchronized List<ProcessEnd> ends() {
-    return List.copyOf(ends);
+  /** What the workers had in work, by time. */
+  synchronized List<Utilisation> utilisations() {
+    return List.copyOf(utilisations);
   }
 
   /** A worker has given up calling back for this job. */
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/ProcessLauncher.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/ProcessLauncher.java
@@ -89,7 +89,6 @@
           started.add(pid);
         } else {
           observations.step(pid, "process ended, wait status " + words[2]);
-          observations.add(new Observations.ProcessEnd(observations.now(), pid));
           process(pid).ended(Integer.parseInt(words[2]));
         }
       }
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeRun.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeRun.java
@@ -58,16 +58,22 @@
 
   /** A run whose processes {@code command} starts, against {@code workers} workers. */
   public UpgradeRun(List<String> command, NodeLimits limits, int workers) throws IOException {
+    this(command, limits, workers, WorkerBehaviour.UNLIMITED);
+  }
+
+  /** The same with workers of this behaviour. */
+  public UpgradeRun(List<String> command, NodeLimits limits, int workers, WorkerBehaviour behaviour)
+      throws IOException {
     this.limits = limits;
     folder = Files.createTempDirectory("upgrade-run");
     shared = Files.createDirectory(folder.resolve("shared"));
     for (int i = 1; i <= workers; i++) {
-      this.workers.add(new WorkerStub("s-" + i, observations, runner, callers));
+      this.workers.add(new WorkerStub("s-" + i, observations, runner, callers, behaviour));
     }
     discoveries.add(new DiscoveryStub(this.workers));
     discoveries.add(new DiscoveryStub(this.workers));
     launcher = new ProcessLauncher(command, folder, observations);
-    this.workers.forEach(each -> each.callBackTo(launcher.clients()));
+    this.workers.forEach(each -> each.callBackTo(sender -> launcher.clients()));
     writeConfiguration();
   }
 
@@ -108,6 +114,22 @@
     return workers.stream().map(WorkerStub::name).toList();
   }
 
+  /** The jobs in work at all workers together. */
+  int jobsInWork() {
+    return workers.stream().mapToInt(WorkerStub::inWork).sum();
+  }
+
+  /** The slots of all workers together. */
+  int slots() {
+    return workers.stream().mapToInt(WorkerStub::slots).sum();
+  }
+
+  /** Has a worker do something wrong from now on. */
+  void fault(int worker, WorkerFault fault) {
+    observations.step(0, "worker " + workers.get(worker).name() + ": " + fault);
+    workers.get(worker).fault(fault);
+  }
+
   /** The folder that the processes share. */
   public Path sharedFolder() {
     return shared;
