--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/LoadShiftRun.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/LoadShiftRun.java
@@ -11,9 +11,8 @@
  * for a while to one that has served little, beside busy processes that end some seconds later.
  */
 public final class LoadShiftRun {
-  private static final NodeLimits LIMITS = new NodeLimits(256, 384);
-  private static final WorkerBehaviour WORKER = new WorkerBehaviour(20, 20, 4, 16);
-  private static final int WORKERS = 4;
+  private static final RunSettings SETTINGS =
+      new RunSettings(new NodeLimits(256, 384), 4, new WorkerBehaviour(20, 20, 4, 16, true), 100);
   private static final int CLIENTS = 8;
   private static final double MEAN_PAUSE = 25;
   private static final double DEADLINE = 2000;
@@ -39,7 +38,7 @@
   /** Plays one upgrade with processes that {@code command} starts, beside {@code busy} others. */
   public static Result play(List<String> command, int busy, long seed)
       throws IOException, InterruptedException {
-    try (UpgradeRun run = new UpgradeRun(command, LIMITS, WORKERS, WORKER)) {
+    try (UpgradeRun run = new UpgradeRun(command, SETTINGS)) {
       ServingProcess old = run.start();
       run.awaitReady(old);
       ClientLoad load = run.load(CLIENTS, MEAN_PAUSE, DEADLINE, seed);
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/SoakRun.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/SoakRun.java
@@ -48,7 +48,7 @@
   /** Plays a plan with processes that {@code command} starts. */
   public static Result play(SoakPlan plan, List<String> command)
       throws IOException, InterruptedException {
-    try (UpgradeRun run = new UpgradeRun(command, LIMITS, SoakPlan.WORKERS)) {
+    try (UpgradeRun run = new UpgradeRun(command, RunSettings.ordinary(LIMITS, SoakPlan.WORKERS))) {
       ServingProcess first = run.start();
       run.awaitReady(first);
       OperatorDesk desk = new OperatorDesk(run, plan.seed());
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeRun.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeRun.java
@@ -50,25 +50,20 @@
   private final ExecutorService callers = Executors.newCachedThreadPool();
   private final Path folder;
   private final Path shared;
-  private final NodeLimits limits;
+  private final RunSettings settings;
   private final List<WorkerStub> workers = new ArrayList<>();
   private final List<DiscoveryStub> discoveries = new ArrayList<>();
   private final ProcessLauncher launcher;
   private int discovery;
 
-  /** A run whose processes {@code command} starts, against {@code workers} workers. */
-  public UpgradeRun(List<String> command, NodeLimits limits, int workers) throws IOException {
-    this(command, limits, workers, WorkerBehaviour.UNLIMITED);
-  }
-
-  /** The same with workers of this behaviour. */
-  public UpgradeRun(List<String> command, NodeLimits limits, int workers, WorkerBehaviour behaviour)
-      throws IOException {
-    this.limits = limits;
+  /** A run whose processes {@code command} starts. */
+  public UpgradeRun(List<String> command, RunSettings settings) throws IOException {
+    this.settings = settings;
     folder = Files.createTempDirectory("upgrade-run");
     shared = Files.createDirectory(folder.resolve("shared"));
-    for (int i = 1; i <= workers; i++) {
-      this.workers.add(new WorkerStub("s-" + i, observations, runner, callers, behaviour));
+    for (int i = 1; i <= settings.workers(); i++) {
+      this.workers.add(
+          new WorkerStub("s-" + i, observations, runner, callers, settings.behaviour()));
     }
     discoveries.add(new DiscoveryStub(this.workers));
     discoveries.add(new DiscoveryStub(this.workers));
@@ -106,7 +101,7 @@
 
   /** The limits that the node's configuration names. */
   public NodeLimits limits() {
-    return limits;
+    return settings.limits();
   }
 
   /** The names of the workers. */
@@ -144,10 +139,10 @@
               .add("Effect", kind.effect)
               .add("KeyScope", "all")
               .add("Window", 15_000)
-              .add("GoalTime", 1000)
+              .add("GoalTime", settings.latencyObjective())
               .add("Deadline", LONGEST_DEADLINE));
     }
-    JsonObject settings =
+    JsonObject nodeSettings =
         new JsonObject()
             .add("Discovery", "push")
             .add("Zones", new JsonArray().add(ZONE))
@@ -163,6 +158,7 @@
                     .add("ConnectTimeout", 250)
                     .add("RetryAfter", true)
                     .add("MaxRetryAfter", 2000))
+            .add("Extra", new JsonObject().add("TellsStart", settings.behaviour().tellsStart()))
             .add("Classes", classes);
     InetSocketAddress agent = discoveries.get(discovery).address();
     JsonObject configuration =
@@ -174,9 +170,9 @@
             .add(
                 "limits",
                 new JsonObject()
-                    .add("memory_mb", limits.memoryMb())
-                    .add("sockets", limits.descriptors()))
-            .add("settings", settings);
+                    .add("memory_mb", limits().memoryMb())
+                    .add("sockets", limits().descriptors()))
+            .add("settings", nodeSettings);
     Files.writeString(folder.resolve("node.json"), configuration.toString());
   }
 
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/WorkerStub.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/WorkerStub.java
@@ -171,6 +171,9 @@
     int runtime =
         ThreadLocalRandom.current().nextInt(behaviour.minRuntime(), behaviour.maxRuntime() + 1);
     runner.schedule(() -> callers.execute(() -> ended(job)), runtime, MILLIS);
+    if (behaviour.tellsStart()) {
+      callers.execute(() -> answered(job, news(job, "started")));
+    }
   }
 
   private void ended(ReceivedJob job) {
@@ -190,22 +193,9 @@
   }
 
   private void callBack(ReceivedJob job, int tries) {
-    String body =
-        new JsonObject()
-            .add("id", job.id())
-            .add("from", name)
-            .add("state", "done")
-            .add("result", UpgradeRun.RESULT + job.id())
-            .toString();
-    try {
-      int status =
-          HttpConnection.call(nodes.apply(job.sender()), "POST /_jobs/news", body, CALLBACK_TIMEOUT)
-              .status();
-      if (status == 200 || status == 204) {
-        return;
-      }
-    } catch (IOException unanswered) {
-      // Tried again below.
+    JsonObject done = news(job, "done").add("result", UpgradeRun.RESULT + job.id());
+    if (answered(job, done)) {
+      return;
     }
     if (tries > 1) {
       runner.schedule(
@@ -216,6 +206,22 @@
     }
   }
 
+  private JsonObject news(ReceivedJob job, String state) {
+    return new JsonObject().add("id", job.id()).add("from", name).add("state", state);
+  }
+
+  /** Sends one callback; true if the node has answered it. */
+  private boolean answered(ReceivedJob job, JsonObject body) {
+    InetSocketAddress node = nodes.apply(job.sender());
+    try {
+      int status =
+          HttpConnection.call(node, "POST /_jobs/news", body.toString(), CALLBACK_TIMEOUT).status();
+      return status == 200 || status == 204;
+    } catch (IOException unanswered) {
+      return false;
+    }
+  }
+
   @Override
   public void close() {
     server.stop(0);
--- a/faulttest/src/test/java/ferngrade/faulttest/upgrade/MaintenanceDuringUpgradeTest.java
+++ b/faulttest/src/test/java/ferngrade/faulttest/upgrade/MaintenanceDuringUpgradeTest.java
@@ -32,7 +32,9 @@
 
   @BeforeEach
   void startRun() throws Exception {
-    run = new UpgradeRun(UpgradeRun.thisProgram(), new NodeLimits(256, 1024), WORKERS);
+    run =
+        new UpgradeRun(
+            UpgradeRun.thisProgram(), RunSettings.ordinary(new NodeLimits(256, 1024), WORKERS));
   }
 
   @AfterEach
--- a/node/src/main/java/ferngrade/node/LoopMonitor.java
+++ b/node/src/main/java/ferngrade/node/LoopMonitor.java
@@ -57,7 +57,9 @@
 
   private void observe(String what, double millis) {
     double now = clock.now();
-    if (millis > REPORTED) {
+    if (sampledAt == Double.NEGATIVE_INFINITY) {
+      takeSample(SchedulerStats.read(), now);
+    } else if (millis > REPORTED) {
       report(what, millis, now);
     } else if (now - sampledAt > SAMPLE_INTERVAL) {
       takeSample(SchedulerStats.read(), now);
