Admit what idle workers can bear beside the slot budget

Symptom: after an upgrade under load the new process rejects 110 to 300 requests a second for up to 10 s (rejected_for.quota) with workers nearly idle. Seen beside it: rejected_share 0, held 0. Ruled out: capacity and shutdown (their counters stand at 0), no worker, late by listed loads (not listed there).

Change: IdleCapacity. A request beyond the budget is admitted while the jobs in flight from here stay under half of this dispatcher's part of the cores of warm, reachable workers that have done jobs and rejected none for a second, and no faster than outcomes prove it: each cycle as many as were served in the last one, and 2.5 a core. Cold workers do not count. Where the list shows loads the slice follows these, and nothing changes.

Rejected: a higher floor or faster growth of the slice, which excessTenantIsRefusedUnsent forbids (an instant burst ran through).

--- a/dispatch/src/main/java/ferngrade/dispatch/AttemptOutcomeHandler.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/AttemptOutcomeHandler.java
@@ -7,18 +7,21 @@
   private final SlotBudget budget;
   private final ServiceTimeEstimator serviceTimes;
   private final RetryPolicy retries;
+  private final IdleCapacity idle;
 
   AttemptOutcomeHandler(
       WorkerRegistry registry,
       OutlierDetector outliers,
       SlotBudget budget,
       ServiceTimeEstimator serviceTimes,
-      RetryPolicy retries) {
+      RetryPolicy retries,
+      IdleCapacity idle) {
     this.registry = registry;
     this.outliers = outliers;
     this.budget = budget;
     this.serviceTimes = serviceTimes;
     this.retries = retries;
+    this.idle = idle;
   }
 
   /** Counts an attempt whose start was reported or is shown by its good end. */
@@ -34,6 +37,7 @@
       case FULL -> {
         outliers.signOfLife(attempt.worker, now);
         outliers.workerFull(attempt.worker, now);
+        idle.workerRejected(attempt.worker, now);
         budget.attemptRejected();
       }
       case TIMEOUT -> timedOut(request, attempt, now);
@@ -54,6 +58,7 @@
     outliers.signOfLife(attempt.worker, now);
     outliers.attemptSucceeded(attempt.worker, request.job.jobClass());
     registry.markProven(attempt.worker);
+    idle.attemptSucceeded();
     if (!attempt.hasStarted()) {
       attemptStarted(request, attempt);
     }
--- a/dispatch/src/main/java/ferngrade/dispatch/ThrottlingDispatcher.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/ThrottlingDispatcher.java
@@ -42,6 +42,7 @@
   private final HedgingPolicy hedging;
   private final WorkerSelector selector;
   private final AttemptOutcomeHandler outcomes;
+  private final IdleCapacity idle;
 
   /** Starts a dispatcher's decisions at {@code now}; the seed is its only source of chance. */
   public ThrottlingDispatcher(DispatcherSettings settings, long seed, double now, Actions actions) {
@@ -65,7 +66,8 @@
     CandidateFilter filter = new CandidateFilter(retries, slowStart, outliers, deadlines, budget);
     CandidateCost cost = new CandidateCost(settings, registry, serviceTimes, waits);
     selector = new WorkerSelector(registry, filter, cost, outliers, random);
-    outcomes = new AttemptOutcomeHandler(registry, outliers, budget, serviceTimes, retries);
+    idle = new IdleCapacity(registry, outliers, grants);
+    outcomes = new AttemptOutcomeHandler(registry, outliers, budget, serviceTimes, retries, idle);
     startTimers();
   }
 
@@ -105,13 +107,18 @@
     PendingRequest request = new PendingRequest(job, settings.classes().get(job.jobClass()));
     requests.add(request);
     double work = serviceTimes.requestArrived(request);
-    if (budgetCycle.admit(job, work, now)) {
+    if (budgetCycle.admit(job, work, now) || admitBeyondBudget(job)) {
       sendOrAnswer(request, now);
     } else {
       answer(request, BudgetCycle.PERIOD_MS, RejectionCause.QUOTA);
     }
   }
 
+  /** Admits a job that the budget does not cover if idle workers can bear it. */
+  private boolean admitBeyondBudget(Job job) {
+    return !budget.followsLoads() && idle.admit(job);
+  }
+
   /**
    * Sends the request (again) if that is allowed, else answers it unless an attempt is in flight.
    */
@@ -315,6 +322,7 @@
   public void timer(double now, long token) {
     if (token == CYCLE_TOKEN) {
       budgetCycle.run(fleetLoad, serviceTimes.meanWork(), now);
+      idle.startCycle(now);
       actions.timer(BudgetCycle.PERIOD_MS, CYCLE_TOKEN);
     } else if (token == WATCH_TOKEN) {
       actions.watch();
--- a/dispatch/src/main/java/ferngrade/dispatch/WorkerStats.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/WorkerStats.java
@@ -43,6 +43,9 @@
   double slowness = 1;
   int outcomes;
 
+  // IdleCapacity: when the worker last rejected an attempt.
+  double rejectedAt = Double.NEGATIVE_INFINITY;
+
   // OutlierDetector: no jobs before these times; the length of the last ejection, ms.
   double holdUntil = Double.NEGATIVE_INFINITY;
   double ejectedUntil = Double.NEGATIVE_INFINITY;
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/DiscoveryStub.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/DiscoveryStub.java
@@ -102,7 +102,7 @@
               .add("locality", UpgradeRun.ZONE)
               .add("flavor", UpgradeRun.KIND)
               .add("phase", "active")
-              .add("size", 1)
+              .add("size", worker.listedSize())
               .add("up_since_ms", 0));
     }
     long revision = 1 + (System.nanoTime() - origin) / 1_000_000 / INTERVAL;
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/WorkerStub.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/WorkerStub.java
@@ -96,6 +96,11 @@
     return behaviour.slots();
   }
 
+  /** The size that the endpoint list tells: its slots, 1 where they are no limit. */
+  int listedSize() {
+    return slots() == Integer.MAX_VALUE ? 1 : slots();
+  }
+
   /** The jobs that it runs or that wait in its queue. */
   synchronized int inWork() {
     return running + waiting.size();
