Count a shutdown from the earliest signal, and answer all that has reached a process that ends

Causes: NodeServer.finish counted the budget from the moment at which the thread behind the signal ran; now PauseDetector (a timer each 100 ms) knows the gap in which the signal may have come, and ShutdownBudget takes the kill from the earliest, the end of accepting from the latest time. No margin has grown. finishOperatorsCalls closed the listener with what waited there and ended two turns later; Admin.finish accepts what waits and awaits the end of each call, within the budget. The clients' listener was closed likewise (FrontendShutdown.linger); it accepts what waits, and connections that have carried no job are read before they close. LiveProcesses counted a process until it ended: a record 'finishing' ends that, and that process gives up its grants for cold workers; descriptors are divided by all that run, as before, since both hold them.

The slice is never under what workers accept.

--- a/dispatch/src/main/java/ferngrade/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/Dispatcher.java
@@ -58,6 +58,12 @@
    */
   default void sharedBy(double now, int count, int index) {}
 
+  /**
+   * The host accepts no more requests: what is granted to the dispatcher goes to other processes of
+   * it, and those that are pending do without.
+   */
+  default void acceptNoMore(double now) {}
+
   /** A timer asked for by {@link Actions#timer} has run out. */
   void timer(double now, long token);
 
--- a/dispatch/src/main/java/ferngrade/dispatch/SlotBudget.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/SlotBudget.java
@@ -179,6 +179,8 @@
     } else {
       slice = Math.max(max, slice * (1 - GROW));
     }
+    // Idle workers may have been given more than the slice: what they accepted proves it.
+    slice = Math.max(slice, acceptedRate);
   }
 
   /** What was accepted proves that the slots exist; cutting below it starves an idle fleet. */
--- a/dispatch/src/main/java/ferngrade/dispatch/SlowStart.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/SlowStart.java
@@ -45,6 +45,7 @@
   private int processes = 1;
 
   private int process;
+  private boolean stopped;
   private final Map<Long, Account> accounts = new HashMap<>();
 
   SlowStart(SlowStartPolicy rule, int me, int dispatchers) {
@@ -64,6 +65,11 @@
     accounts.values().forEach(account -> account.received = Double.NaN);
   }
 
+  /** From now on this process has no grants: others have them. */
+  void stop() {
+    stopped = true;
+  }
+
   /** Between how many the grants of a worker are divided. */
   int participants() {
     return dispatchers * processes;
@@ -104,6 +110,9 @@
     if (!warmingUp(worker, now)) {
       return true;
     }
+    if (stopped) {
+      return false;
+    }
     Account account = account(worker);
     receive(account, worker, capacity, now);
     return Math.floor(account.received) - account.used >= COVERED_SHARE * cost;
--- a/dispatch/src/main/java/ferngrade/dispatch/ThrottlingDispatcher.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/ThrottlingDispatcher.java
@@ -99,6 +99,11 @@
     grants.sharedBy(count, index);
   }
 
+  @Override
+  public void acceptNoMore(double now) {
+    grants.stop();
+  }
+
   @Override
   public void arrived(double now, Job job) {
     if (job.jobClass() >= settings.classes().size()) {
--- a/node/src/main/java/ferngrade/config/SharedRecordCodec.java
+++ b/node/src/main/java/ferngrade/config/SharedRecordCodec.java
@@ -5,6 +5,7 @@
 import com.eclipsesource.json.JsonValue;
 import ferngrade.node.DiscoveryRecord;
 import ferngrade.node.DrainRecord;
+import ferngrade.node.FinishingRecord;
 import ferngrade.node.MaintenanceEntry;
 import ferngrade.node.ProcessRecord;
 import ferngrade.node.SharedRecord;
@@ -14,7 +15,7 @@
  * The text of the records that the processes of one node exchange: a JSON object in one line, by
  * its kind {@code {"worker":name,"version":n,"out":true}}, {@code
  * {"worker":name,"version":n,"returned":ms since 1970}}, {@code {"drained":true,"version":n}},
- * {@code {"discovery":address,"former":address}} or {@code
+ * {@code {"discovery":address,"former":address}}, {@code {"finishing":pid}} or {@code
  * {"pid":n,"operators":address,"first":true}}.
  */
 public final class SharedRecordCodec {
@@ -40,6 +41,9 @@
           .add("former", text(moved.former()))
           .toString();
     }
+    if (record instanceof FinishingRecord finishing) {
+      return new JsonObject().add("finishing", finishing.pid()).toString();
+    }
     ProcessRecord process = (ProcessRecord) record;
     return new JsonObject()
         .add("pid", process.pid())
@@ -81,6 +85,9 @@
         return new ProcessRecord(
             json.get("pid").asLong(), address(json, "operators"), json.getBoolean("first", false));
       }
+      if (json.get("finishing") != null) {
+        return new FinishingRecord(json.get("finishing").asLong());
+      }
       if (json.get("discovery") != null) {
         return new DiscoveryRecord(address(json, "former"), address(json, "discovery"));
       }
--- a/node/src/main/java/ferngrade/http/Admin.java
+++ b/node/src/main/java/ferngrade/http/Admin.java
@@ -14,15 +14,18 @@
 import ferngrade.node.WorkerCallback;
 import ferngrade.transport.ChannelProvider;
 import ferngrade.transport.ChannelProvider.Purpose;
+import ferngrade.transport.PendingReads;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
@@ -63,6 +66,15 @@
   private final IntSupplier reloadsFailed;
   private final Set<Channel> callers = new LinkedHashSet<>();
 
+  /** The callers whose connections are open. */
+  private final Set<Channel> open = new HashSet<>();
+
+  private long accepted;
+  private Channel listener;
+
+  /** Null until {@link #finish}. */
+  private Runnable whenFinished;
+
   /**
    * What the operators' calls act on; {@code state} is null where nothing is to outlive the
    * process, {@code upgradePeers} where it has no others beside it.
@@ -94,24 +106,47 @@
   /** Begins to listen at {@code address}. */
   public ChannelFuture listen(
       EventLoopGroup group, InetSocketAddress address, ChannelProvider channels) {
-    return new ServerBootstrap()
-        .group(group)
-        .channelFactory(() -> channels.listener(Purpose.ADMIN, null))
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .handler(new AcceptSwitch(timers))
-        .childHandler(
-            new ChannelInitializer<Channel>() {
-              @Override
-              protected void initChannel(Channel channel) {
-                channel
-                    .pipeline()
-                    .addLast(
-                        new HttpServerCodec(),
-                        new HttpObjectAggregator(MAX_CALL_BYTES),
-                        new AdminHandler(Admin.this));
-              }
-            })
-        .bind(address);
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(group)
+            .channelFactory(() -> channels.listener(Purpose.ADMIN, null))
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .handler(new AcceptSwitch(timers))
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(
+                            new HttpServerCodec(),
+                            new HttpObjectAggregator(MAX_CALL_BYTES),
+                            new AdminHandler(Admin.this));
+                  }
+                })
+            .bind(address);
+    listener = bound.channel();
+    return bound;
+  }
+
+  /**
+   * Answers every call that has reached this machine, and then runs {@code done}: accepts the
+   * callers that wait, listens no longer, and awaits the end of each call, which takes {@link
+   * #CALL_TIMEOUT} at most where a caller sends nothing.
+   */
+  public void finish(Runnable done) {
+    PendingReads.acceptWaiting((AbstractNioChannel) listener, () -> accepted);
+    listener.close();
+    whenFinished = done;
+    finishIfAnswered();
+  }
+
+  private void finishIfAnswered() {
+    if (whenFinished != null && open.isEmpty()) {
+      Runnable done = whenFinished;
+      whenFinished = null;
+      done.run();
+    }
   }
 
   /**
@@ -119,6 +154,8 @@
    * many.
    */
   void opened(Channel caller) {
+    accepted++;
+    open.add(caller);
     callers.add(caller);
     if (callers.size() > most) {
       Channel oldest = callers.iterator().next();
@@ -135,6 +172,8 @@
 
   void closed(Channel caller) {
     callers.remove(caller);
+    open.remove(caller);
+    finishIfAnswered();
   }
 
   // ---- The calls ----
--- a/node/src/main/java/ferngrade/http/ClientConnectionHandler.java
+++ b/node/src/main/java/ferngrade/http/ClientConnectionHandler.java
@@ -386,6 +386,18 @@
     return state;
   }
 
+  /**
+   * Closes a connection on which no job has come yet, unless a request lies there unread: that is
+   * read and closes the connection with its response. Where jobs have come, a client knows that a
+   * close may cross its request, and repeats it.
+   */
+  void closeAfterReading() {
+    AbstractNioChannel channel = (AbstractNioChannel) context.channel();
+    if (PendingReads.openAfterReading(channel, () -> bytesRead) && resting()) {
+      closeGracefully();
+    }
+  }
+
   /** True once the last response is written and only the client's close is awaited. */
   boolean closing() {
     return state == ConnectionState.CLOSING;
--- a/node/src/main/java/ferngrade/http/ClientConnections.java
+++ b/node/src/main/java/ferngrade/http/ClientConnections.java
@@ -35,6 +35,8 @@
   /** The connections that are awaited, and since when; the oldest comes first. */
   private final Map<ClientConnectionHandler, Double> awaited = new LinkedHashMap<>();
 
+  private long accepted;
+
   ClientConnections(
       ConnectionLimits limits, Clock clock, Timers timers, AcceptSwitch acceptSwitch) {
     this.limits = limits;
@@ -77,8 +79,14 @@
     acceptSwitch.pause(Reason.FULL, open.size() >= limits.clients());
   }
 
+  /** How many connections have been accepted so far. */
+  long accepted() {
+    return accepted;
+  }
+
   /** A connection has been accepted. */
   void opened(ClientConnectionHandler connection) {
+    accepted++;
     open.add(connection);
     await(connection);
     enforceLimit();
--- a/node/src/main/java/ferngrade/http/FrontendShutdown.java
+++ b/node/src/main/java/ferngrade/http/FrontendShutdown.java
@@ -111,7 +111,7 @@
     stopListening.run();
     connections.open().stream()
         .filter(ClientConnectionHandler::resting)
-        .forEach(ClientConnectionHandler::closeGracefully);
+        .forEach(ClientConnectionHandler::closeAfterReading);
   }
 
   /** Rejects requests that have arrived in part, so that nothing read goes unanswered. */
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -7,12 +7,14 @@
 import ferngrade.node.Timers;
 import ferngrade.transport.ChannelProvider;
 import ferngrade.transport.ChannelProvider.Purpose;
+import ferngrade.transport.PendingReads;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.AbstractNioChannel;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.EnumMap;
@@ -63,8 +65,7 @@
     this.acceptSwitch = new AcceptSwitch(timers);
     this.connections = new ClientConnections(limits, clock, timers, acceptSwitch);
     this.shutdown =
-        new FrontendShutdown(
-            connections, () -> jobsInFlight, () -> listener.close(), clock, timers);
+        new FrontendShutdown(connections, () -> jobsInFlight, this::stopListening, clock, timers);
   }
 
   /**
@@ -112,6 +113,17 @@
     return bound;
   }
 
+  /**
+   * Listens no longer. What waits to be accepted is accepted before, except on a socket that
+   * another process shares, which accepts it.
+   */
+  private void stopListening() {
+    if (!inherited && listener.isActive()) {
+      PendingReads.acceptWaiting((AbstractNioChannel) listener, connections::accepted);
+    }
+    listener.close();
+  }
+
   /** The address at which the frontend listens. */
   public InetSocketAddress address() {
     return (InetSocketAddress) listener.localAddress();
@@ -180,7 +192,7 @@
   }
 
   /** The budget of the shutdown in progress; null if there is none. */
-  ShutdownBudget budget() {
+  public ShutdownBudget budget() {
     return shutdown.budget();
   }
 
--- a/node/src/main/java/ferngrade/http/ShutdownBudget.java
+++ b/node/src/main/java/ferngrade/http/ShutdownBudget.java
@@ -52,15 +52,20 @@
   private static final double MIN_REMAINING = 50;
 
   /**
-   * The budget of a shutdown that was asked for at {@code signalled}, ms, in a deployment with
-   * these settings.
+   * The budget of a shutdown that was asked for by a signal, in a deployment with these settings.
+   * Balancers send new connections until some time after the signal at the latest, and the platform
+   * may kill some time after it at the earliest: a process that was held up knows both only as
+   * bounds.
+   *
+   * @param earliest when the signal may have come, ms
+   * @param noticed when this process noticed it, ms
    */
-  public static ShutdownBudget of(double signalled, DispatcherSettings settings) {
+  public static ShutdownBudget of(double earliest, double noticed, DispatcherSettings settings) {
     double deadline = settings.classes().stream().mapToDouble(JobClass::deadline).max().orElse(0);
-    double kill = signalled + Math.min(LONGEST_DEADLINE, deadline) + KILL_AFTER_DEADLINE;
+    double kill = earliest + Math.min(LONGEST_DEADLINE, deadline) + KILL_AFTER_DEADLINE;
     double end = kill - MAX_PAUSE - WRITING;
     double answersBy = end - READING;
-    double acceptUntil = Math.min(signalled + NEW_CONNECTIONS + MAX_PAUSE, answersBy);
+    double acceptUntil = Math.min(noticed + NEW_CONNECTIONS + MAX_PAUSE, answersBy);
     return new ShutdownBudget(acceptUntil, answersBy, end - READING_REJECTIONS, end);
   }
 
--- a/node/src/main/java/ferngrade/node/RequestCoordinator.java
+++ b/node/src/main/java/ferngrade/node/RequestCoordinator.java
@@ -333,6 +333,11 @@
     turns.event(() -> dispatcher.sharedBy(clock.now(), count, index));
   }
 
+  /** No more requests are accepted: grants for workers that warm up are left to others. */
+  public void acceptNoMore() {
+    turns.event(() -> dispatcher.acceptNoMore(clock.now()));
+  }
+
   /** A message from another node. */
   public void heard(int from, byte[] message) {
     turns.event(() -> dispatcher.heard(clock.now(), from, message));
--- a/node/src/main/java/ferngrade/server/GracefulShutdown.java
+++ b/node/src/main/java/ferngrade/server/GracefulShutdown.java
@@ -19,21 +19,27 @@
   private final Timers timers;
   private final RateLimitedLog log;
   private final Runnable handOver;
+  private final Runnable finishing;
 
-  /** {@code handOver} leaves what only one process of the node can have to the others. */
+  /**
+   * {@code handOver} leaves what only one process of the node can have to the others, {@code
+   * finishing} tells them that this one accepts no more jobs.
+   */
   GracefulShutdown(
       HttpFrontend front,
       RequestCoordinator coordinator,
       Clock clock,
       Timers timers,
       RateLimitedLog log,
-      Runnable handOver) {
+      Runnable handOver,
+      Runnable finishing) {
     this.front = front;
     this.coordinator = coordinator;
     this.clock = clock;
     this.timers = timers;
     this.log = log;
     this.handOver = handOver;
+    this.finishing = finishing;
   }
 
   /**
@@ -41,10 +47,16 @@
    *
    * @param requested the times of its phases
    * @param acceptUntil when the node stops accepting jobs at the latest, ms on the clock
+   * @param uncertainty by how much earlier the signal may have come than it was noticed, ms
    * @param whenDone runs once everything accepted has been answered
    */
-  void begin(ShutdownBudget requested, double acceptUntil, Runnable whenDone) {
-    log.line("stopping");
+  void begin(ShutdownBudget requested, double acceptUntil, double uncertainty, Runnable whenDone) {
+    log.line(
+        "stopping"
+            + (uncertainty > 0
+                ? String.format(
+                    Locale.ROOT, "; the signal may have come %.0f ms before", uncertainty)
+                : ""));
     ShutdownBudget budget = front.drain(requested);
     handOver.run();
     coordinator.answerAllBy(budget.answersBy());
@@ -52,6 +64,7 @@
         Math.min(acceptUntil, budget.acceptUntil()) - clock.now(),
         () -> {
           log.line("no more jobs are accepted");
+          finishing.run();
           front.finish(
               () -> {
                 logEnd(budget);
--- a/node/src/main/java/ferngrade/server/LiveProcesses.java
+++ b/node/src/main/java/ferngrade/server/LiveProcesses.java
@@ -2,7 +2,9 @@
 
 import ferngrade.node.TaskScheduler;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.LongPredicate;
 
@@ -22,17 +24,20 @@
   private final Listener listener;
   private final List<Long> others = new ArrayList<>();
 
-  /** How many of the others have started before this one. */
-  private int earlier;
+  /** Those of the others that have started before this one. */
+  private final Set<Long> earlier = new HashSet<>();
+
+  /** Those of the others that accept no more jobs. */
+  private final Set<Long> finishing = new HashSet<>();
 
   private boolean ownStarted;
   private boolean checkScheduled;
 
-  /** Is notified when the number of processes, or the number of this one, has changed. */
+  /** Is notified when the processes, or what they do, have changed. */
   @FunctionalInterface
   interface Listener {
-    /** There are {@code count} processes, of which this is number {@code index} from 0. */
-    void changed(int count, int index);
+    /** This is what runs now. */
+    void changed(ProcessShare share);
   }
 
   /** The processes beside that with the id {@code own}; {@code alive} is called on any thread. */
@@ -51,19 +56,30 @@
       ownStarted = true;
     } else if (!others.contains(pid) && alive.test(pid)) {
       others.add(pid);
-      earlier += ownStarted ? 0 : 1;
+      if (!ownStarted) {
+        earlier.add(pid);
+      }
       changed();
       checkLater();
     }
   }
 
+  /** A process accepts no more jobs; an unknown one is ignored. */
+  void finishing(long pid) {
+    if (others.contains(pid) && finishing.add(pid)) {
+      changed();
+    }
+  }
+
   /** True if a process beside this one runs, as far as is known. */
   boolean othersRun() {
     return !others.isEmpty();
   }
 
   private void changed() {
-    listener.changed(others.size() + 1, earlier);
+    int accepting = (int) others.stream().filter(pid -> !finishing.contains(pid)).count() + 1;
+    int index = (int) earlier.stream().filter(pid -> !finishing.contains(pid)).count();
+    listener.changed(new ProcessShare(others.size() + 1, accepting, index));
   }
 
   private void checkLater() {
@@ -82,11 +98,9 @@
 
   private void checked(List<Long> ended) {
     checkScheduled = false;
-    for (Long pid : ended) {
-      int position = others.indexOf(pid);
-      others.remove(position);
-      earlier -= position < earlier ? 1 : 0;
-    }
+    others.removeAll(ended);
+    earlier.removeAll(ended);
+    finishing.removeAll(ended);
     if (!ended.isEmpty()) {
       changed();
     }
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -100,6 +100,7 @@
   private final EventLoop loop;
   private final Timers timers;
   private final LoopMonitor loopMonitor;
+  private final PauseDetector pauses;
   private final HttpFrontend front;
   private final UpgradePeers upgradePeers;
   private RequestCoordinator coordinator;
@@ -112,6 +113,10 @@
   private Discovery discovery;
   private final CountDownLatch finished = new CountDownLatch(1);
   private Channel adminChannel;
+
+  /** Answers operators' calls; null where they cannot call. */
+  private Admin admin;
+
   private int reloadsOk;
   private int reloadsFailed;
 
@@ -174,6 +179,7 @@
                     (long) Math.ceil(millis * 1000),
                     TimeUnit.MICROSECONDS));
     this.loopMonitor = new LoopMonitor(clock, log);
+    this.pauses = new PauseDetector(clock, timers);
     arrivals.onTurn(loopMonitor::turnEnded);
     timers.onDelay(loopMonitor::timerDelayed);
     // Only a process on an inherited socket can have others beside it.
@@ -337,6 +343,7 @@
           }
         });
     workers.identifyAs(platform.process());
+    pauses.start();
     new BudgetReporter(coordinator, timers, log).start();
     return bound;
   }
@@ -354,6 +361,7 @@
                 this::processesChanged,
                 loop,
                 clock,
+                timers,
                 log));
     state.open();
     if (upgradePeers != null) {
@@ -376,10 +384,15 @@
   }
 
   /** What is granted to the node is divided between its processes. */
-  private void processesChanged(int count, int index) {
-    log.line(count + " processes of this node run, this is number " + index);
-    coordinator.sharedBy(count, index);
-    ConnectionLimits limits = limits(count);
+  private void processesChanged(ProcessShare share) {
+    log.line(
+        share.running()
+            + " processes of this node run, "
+            + share.accepting()
+            + " accept jobs, this is number "
+            + share.index());
+    coordinator.sharedBy(share.accepting(), share.index());
+    ConnectionLimits limits = limits(share.running());
     front.limitTo(limits);
     pool.limitTo(limits.workers());
   }
@@ -411,8 +424,8 @@
             loopMonitor,
             () -> reloadsOk,
             () -> reloadsFailed);
-    ChannelFuture listening =
-        new Admin(parts, timers, log, MAX_OPERATORS).listen(group, config.admin(), channels);
+    admin = new Admin(parts, timers, log, MAX_OPERATORS);
+    ChannelFuture listening = admin.listen(group, config.admin(), channels);
     adminChannel = listening.channel();
     if (sharedState != null && upgradePeers != null) {
       folder.findEarlierProcess(upgradePeers);
@@ -538,21 +551,33 @@
   private void finish(double grace, Runnable whenDone) throws InterruptedException {
     // Counted from the call: the loop may come to it late.
     double requested = clock.now();
-    loop.execute(
-        () ->
-            new GracefulShutdown(front, coordinator, clock, timers, log, this::handOver)
-                .begin(
-                    ShutdownBudget.of(requested, config.settings()),
-                    requested + grace,
-                    () ->
-                        finishOperatorsCalls(
-                            () -> {
-                              whenDone.run();
-                              finished.countDown();
-                            })));
+    loop.execute(() -> beginShutdown(requested, grace, whenDone));
     finished.await();
   }
 
+  private void beginShutdown(double requested, double grace, Runnable whenDone) {
+    double earliest = pauses.earliestSignal(requested);
+    Runnable end =
+        () -> {
+          whenDone.run();
+          finished.countDown();
+        };
+    new GracefulShutdown(front, coordinator, clock, timers, log, this::handOver, this::acceptNoMore)
+        .begin(
+            ShutdownBudget.of(earliest, requested, config.settings()),
+            requested + grace,
+            requested - earliest,
+            () -> finishOperatorsCalls(front.budget().end() + MAX_LAST_STORE, end));
+  }
+
+  /** Leaves what was granted to this process to the others that accept jobs. */
+  private void acceptNoMore() {
+    coordinator.acceptNoMore();
+    if (sharedState != null) {
+      sharedState.finishing();
+    }
+  }
+
   /** Leaves to the other processes of the node what only one of them can have. */
   private void handOver() {
     if (platform.accepted() != null) {
@@ -560,17 +585,25 @@
     }
   }
 
-  /** Answers the operators' calls that have come, and stores what they ask for. */
-  private void finishOperatorsCalls(Runnable done) {
-    if (sharedState == null) {
+  /**
+   * Answers the operators' calls that have come, and stores what they ask for, until this time on
+   * the clock at most.
+   */
+  private void finishOperatorsCalls(double until, Runnable done) {
+    if (admin == null) {
       done.run();
       return;
     }
-    adminChannel.close();
     Runnable once = new CountDown(1, done);
-    // In the next turn the loop reads what has reached it, and in the one behind that all is
-    // answered.
-    loop.execute(() -> loop.execute(() -> sharedState.whenStored(once)));
-    timers.after(MAX_LAST_STORE, once);
+    admin.finish(() -> storeLastCalls(once));
+    timers.after(Math.max(MAX_LAST_STORE, until - clock.now()), once);
+  }
+
+  private void storeLastCalls(Runnable done) {
+    if (sharedState == null) {
+      done.run();
+    } else {
+      sharedState.whenStored(done);
+    }
   }
 }
--- a/node/src/main/java/ferngrade/server/SharedState.java
+++ b/node/src/main/java/ferngrade/server/SharedState.java
@@ -8,6 +8,7 @@
 import ferngrade.node.Clock;
 import ferngrade.node.DiscoveryRecord;
 import ferngrade.node.DrainRecord;
+import ferngrade.node.FinishingRecord;
 import ferngrade.node.MaintenanceEntry;
 import ferngrade.node.OperatorState;
 import ferngrade.node.ProcessRecord;
@@ -15,6 +16,7 @@
 import ferngrade.node.RequestCoordinator;
 import ferngrade.node.SharedLog;
 import ferngrade.node.SharedRecord;
+import ferngrade.node.Timers;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,6 +37,12 @@
    */
   private static final double MAX_WAIT = 2000;
 
+  /**
+   * How long after its start a process keeps a drain from before that, ms: the platform gives it 6
+   * s to be ready, some of which its start has taken.
+   */
+  private static final double MAX_EARLIER_DRAIN = 4000;
+
   private static final long OWN_PID = ProcessHandle.current().pid();
 
   private final SharedLog shared;
@@ -50,6 +58,7 @@
 
   private final Executor loop;
   private final Clock clock;
+  private final Timers timers;
   private final RateLimitedLog log;
   private double opened;
   private final LiveProcesses processes;
@@ -78,6 +87,7 @@
       LiveProcesses.Listener processesChanged,
       Executor loop,
       Clock clock,
+      Timers timers,
       RateLimitedLog log) {}
 
   /** State kept in {@code folder}. */
@@ -88,6 +98,7 @@
     this.discoveryMoved = parts.discoveryMoved();
     this.loop = parts.loop();
     this.clock = parts.clock();
+    this.timers = parts.timers();
     this.log = parts.log();
     this.maintenanceFile = folder.maintenance();
     this.shared = folder.sharedLog(loop, this::apply, this::appendAll);
@@ -119,6 +130,21 @@
     List<SharedRecord> decisions = earlierDecisions;
     earlierDecisions = null;
     decisions.forEach(this::apply);
+    if (drain.drained()) {
+      DrainRecord earlier = drain;
+      timers.after(MAX_EARLIER_DRAIN, () -> endEarlierDrain(earlier));
+    }
+  }
+
+  /**
+   * The platform gives a new process some seconds to be ready, and ends the drained one behind
+   * that: the drain of before the start ends here then, unless operators have decided anew.
+   */
+  private void endEarlierDrain(DrainRecord earlier) {
+    if (drain.equals(earlier)) {
+      log.line("the drain of before this process started ends here: it takes over");
+      front.resume();
+    }
   }
 
   /** Decisions on the node as a whole end with its last process: one that starts anew serves. */
@@ -153,6 +179,13 @@
     shared.append(SharedRecordCodec.write(new ProcessRecord(OWN_PID, ownAddress, first)), () -> {});
   }
 
+  /** This process accepts no more jobs; the others get to know. */
+  void finishing() {
+    if (peers != null) {
+      append(new FinishingRecord(OWN_PID), () -> {});
+    }
+  }
+
   @Override
   public void refresh() {
     shared.poll();
@@ -185,6 +218,8 @@
       }
       peers.at(process.operators());
       processes.started(process.pid());
+    } else if (record instanceof FinishingRecord finishing) {
+      processes.finishing(finishing.pid());
     } else if (record != null && earlierDecisions != null) {
       earlierDecisions.add(record);
     } else {
--- a/node/src/main/java/ferngrade/transport/PendingReads.java
+++ b/node/src/main/java/ferngrade/transport/PendingReads.java
@@ -12,6 +12,9 @@
   /** Bytes read in one go at most: more than the system holds for one connection by default. */
   private static final int MAX_BYTES = 8 << 20;
 
+  /** Connections accepted in one go at most: more than a listener's backlog holds. */
+  private static final int MAX_WAITING = 4096;
+
   private PendingReads() {}
 
   /**
@@ -23,6 +26,21 @@
     }
   }
 
+  /**
+   * Accepts the connections that wait on a listener, on the thread of its event loop: closing it
+   * would reset them, and with them what their peers have sent.
+   *
+   * @param accepted the count of connections accepted so far
+   */
+  public static void acceptWaiting(AbstractNioChannel listener, LongSupplier accepted) {
+    long limit = accepted.getAsLong() + MAX_WAITING;
+    long before;
+    do {
+      before = accepted.getAsLong();
+      listener.unsafe().read();
+    } while (listener.isActive() && accepted.getAsLong() > before && accepted.getAsLong() < limit);
+  }
+
   /**
    * Reads what waits on the connection, through its pipeline, on the thread of its event loop.
    *
--- a/node/src/test/java/ferngrade/config/SharedRecordCodecTest.java
+++ b/node/src/test/java/ferngrade/config/SharedRecordCodecTest.java
@@ -6,6 +6,7 @@
 
 import ferngrade.node.DiscoveryRecord;
 import ferngrade.node.DrainRecord;
+import ferngrade.node.FinishingRecord;
 import ferngrade.node.MaintenanceEntry;
 import ferngrade.node.ProcessRecord;
 import ferngrade.node.SharedRecord;
@@ -27,6 +28,7 @@
           new DrainRecord(2, true), "{\"drained\":true,\"version\":2}",
           new DiscoveryRecord(ADDRESS, OTHER),
               "{\"discovery\":\"127.0.0.1:9601\",\"former\":\"127.0.0.1:9600\"}",
+          new FinishingRecord(4711), "{\"finishing\":4711}",
           new ProcessRecord(4711, ADDRESS, true),
               "{\"pid\":4711,\"operators\":\"127.0.0.1:9600\",\"first\":true}");
 
--- a/node/src/test/java/ferngrade/http/ShutdownBudgetTest.java
+++ b/node/src/test/java/ferngrade/http/ShutdownBudgetTest.java
@@ -34,7 +34,7 @@
   @Test(dataProvider = "deadlines")
   public void allPhasesFitBetweenTheSignalAndTheEarliestKill(double deadline, double kill)
       throws Exception {
-    ShutdownBudget budget = ShutdownBudget.of(SIGNALLED, settings(deadline));
+    ShutdownBudget budget = ShutdownBudget.of(SIGNALLED, SIGNALLED, settings(deadline));
     assertTrue(
         budget.acceptUntil() >= SIGNALLED + 400,
         "new connections are accepted as long as they may come");
@@ -44,9 +44,19 @@
     assertEquals(budget.end(), SIGNALLED + kill - HELD_UP - 50, "held up, and time to write");
   }
 
+  @Test
+  public void processThatWasHeldUpCountsTheKillFromTheEarliestSignal() throws Exception {
+    double noticed = SIGNALLED + 500;
+    ShutdownBudget budget = ShutdownBudget.of(SIGNALLED, noticed, settings(3000));
+    assertEquals(budget.end(), SIGNALLED + 3700 - HELD_UP - 50);
+    assertTrue(budget.acceptUntil() >= noticed + 400, "the signal may have come late, too");
+    ShutdownBudget tight = ShutdownBudget.of(SIGNALLED, noticed, settings(1));
+    assertTrue(tight.acceptUntil() <= tight.answersBy(), "the kill comes first");
+  }
+
   @Test
   public void jobIsBegunOnlyIfItsAnswerFitsIntoTheBudget() throws Exception {
-    ShutdownBudget budget = ShutdownBudget.of(SIGNALLED, settings(1000));
+    ShutdownBudget budget = ShutdownBudget.of(SIGNALLED, SIGNALLED, settings(1000));
     double late = budget.answersBy() - 10;
     assertTrue(budget.tooLittleFor(late + 1000, late));
     assertFalse(budget.tooLittleFor(late + 5, late), "its own deadline comes first");
--- a/node/src/test/java/ferngrade/server/WaitingAtShutdownTest.java
+++ b/node/src/test/java/ferngrade/server/WaitingAtShutdownTest.java
@@ -18,11 +18,11 @@
 
 /**
  * The event loop of a process that ends is held up, and requests and operators' calls reach the
- * machine meanwhile: on connections that wait to be accepted, and on ones that stand idle. When the
- * loop goes on, its next step is to close both. The listening socket was closed with the
- * connections that waited there, which resets them; what lay on idle ones was read and dropped. An
- * operator's call that ends so binds the node all the same, one second after it was made, and
- * nobody knew of it (upgrade soak, seed 121).
+ * machine meanwhile: on connections that wait to be accepted, and on ones that have carried no job
+ * yet. When the loop goes on, its next step is to close both. The listening socket was closed with
+ * the connections that waited there, which resets them; what lay on the others was read and
+ * dropped. An operator's call that ends so binds the node all the same, one second after it was
+ * made, and nobody knew of it (upgrade soak, seed 121).
  */
 @Test(timeOut = 30_000)
 public class WaitingAtShutdownTest {
