Count a worker's cores as free until jobs from here fill them

The budget lines show in_flight=6 at size=12 then: the process that is short of processor time holds jobs for longer than the workers do, and half of the cores was the limit. A job that has a core of its own queues behind nothing, so the limit is the dispatcher's part of the cores. 109 tests of dispatch pass.

--- a/dispatch/src/main/java/ferngrade/dispatch/IdleCapacity.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/IdleCapacity.java
@@ -8,9 +8,6 @@
  * lately. Event thread only.
  */
 final class IdleCapacity {
-  /** Part of the cores up to which jobs in flight leave the workers idle. */
-  private static final double IDLE_SHARE = 0.5;
-
   /** For how long a worker that has rejected an attempt counts as busy, ms. */
   private static final double REJECTION_MEMORY_MS = 1000;
 
@@ -80,11 +77,11 @@
   }
 
   /**
-   * Admits a job beyond the budget if the workers stay idle with it beside those in flight from
-   * here.
+   * Admits a job beyond the budget if it has a core of its own in this dispatcher's part, beside
+   * the jobs in flight from here.
    */
   boolean admit(Job job) {
-    boolean idle = registry.heldSlots() + job.slots() <= IDLE_SHARE * cores;
+    boolean idle = registry.heldSlots() + job.slots() <= cores;
     boolean admitted = idle && allowance >= 1;
     allowance -= admitted ? 1 : 0;
     return admitted;
