--- a/experiment/src/main/java/ferngrade/experiment/FaultTestCommand.java
+++ b/experiment/src/main/java/ferngrade/experiment/FaultTestCommand.java
@@ -16,6 +16,7 @@
       FaultTestSwarmCommand.class,
       FaultTestUpgradeCommand.class,
       FaultTestLoadShiftCommand.class,
+      FaultTestChurnCommand.class,
       CommandLine.HelpCommand.class
     })
 public final class FaultTestCommand implements SubCommand, Runnable {
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/ClientLoad.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/ClientLoad.java
@@ -23,24 +23,21 @@
 
   private final InetSocketAddress address;
   private final Observations observations;
-  private final double meanPause;
-  private final double deadline;
+  private final ClientBehaviour behaviour;
   private final AtomicLong jobs = new AtomicLong();
   private final List<Thread> threads = new ArrayList<>();
   private volatile boolean running = true;
 
-  /** {@code clients} of them, with pauses of {@code meanPause} ms on average. */
+  /** {@code clients} of them. */
   ClientLoad(
       InetSocketAddress address,
       Observations observations,
       int clients,
-      double meanPause,
-      double deadline,
+      ClientBehaviour behaviour,
       long seed) {
     this.address = address;
     this.observations = observations;
-    this.meanPause = meanPause;
-    this.deadline = deadline;
+    this.behaviour = behaviour;
     for (int i = 0; i < clients; i++) {
       Random random = new Random(seed + i);
       Thread thread = new Thread(() -> run(random), "client " + i);
@@ -54,9 +51,13 @@
     HttpConnection connection = null;
     try {
       while (running) {
-        Thread.sleep((long) (-meanPause * Math.log(1 - random.nextDouble())));
+        Thread.sleep((long) (-behaviour.meanPause() * Math.log(1 - random.nextDouble())));
         JobKind kind = JobKind.values()[random.nextInt(JobKind.values().length)];
-        connection = request(connection, kind);
+        boolean leaves = random.nextDouble() < behaviour.leaveShare();
+        connection =
+            leaves
+                ? abandonedRequest(connection, kind, random.nextInt(ClientBehaviour.MAX_WAIT))
+                : request(connection, kind);
       }
     } catch (InterruptedException ending) {
       Thread.currentThread().interrupt();
@@ -70,17 +71,7 @@
   /** Sends one request; returns the connection for the next one, null if a new one is needed. */
   private HttpConnection request(HttpConnection kept, JobKind kind) {
     String job = String.format("%016x", jobs.incrementAndGet());
-    String headers =
-        "Req-Id: "
-            + job
-            + "\r\nReq-Kind: "
-            + kind.label
-            + "\r\nReq-Owner: "
-            + UpgradeRun.TENANT
-            + "\r\nReq-Deadline: "
-            + (long) deadline
-            + "m\r\n"
-            + (kind == JobKind.PLAN ? "Idempotency-Key: " + job + "\r\n" : "");
+    String headers = headers(job, kind);
     double sentAt = observations.now();
     HttpConnection connection = kept;
     for (int tries = kept == null ? 1 : 2; tries > 0; tries--) {
@@ -90,7 +81,7 @@
         }
         connection.write("POST /api", headers, "");
         sentAt = observations.now();
-        HttpConnection.Response response = connection.read((long) (deadline + GRACE));
+        HttpConnection.Response response = connection.read((long) (behaviour.deadline() + GRACE));
         ended(job, kind, sentAt, outcome(response, job));
         if (connection.reusable()) {
           return connection;
@@ -112,6 +103,34 @@
     return null;
   }
 
+  private String headers(String job, JobKind kind) {
+    return "Req-Id: "
+        + job
+        + "\r\nReq-Kind: "
+        + kind.label
+        + "\r\nReq-Owner: "
+        + UpgradeRun.TENANT
+        + "\r\nReq-Deadline: "
+        + (long) behaviour.deadline()
+        + "m\r\n"
+        + (kind == JobKind.PLAN ? "Idempotency-Key: " + job + "\r\n" : "");
+  }
+
+  /** Sends one request and closes the connection {@code wait} ms later, whatever has come. */
+  private HttpConnection abandonedRequest(HttpConnection kept, JobKind kind, int wait)
+      throws InterruptedException {
+    String job = String.format("%016x", jobs.incrementAndGet());
+    try (HttpConnection connection =
+        kept == null ? new HttpConnection(address, CONNECT_TIMEOUT) : kept) {
+      connection.write("POST /api", headers(job, kind), "");
+      Thread.sleep(wait);
+    } catch (IOException closed) {
+      // The node has ended the connection before its client could.
+    }
+    observations.add(new Observations.Departure(observations.now(), job));
+    return null;
+  }
+
   private static Outcome outcome(HttpConnection.Response response, String job) {
     return switch (response.status()) {
       case 200 -> response.body().equals(UpgradeRun.RESULT + job) ? Outcome.SERVED : Outcome.FAILED;
@@ -121,14 +140,15 @@
   }
 
   private void ended(String job, JobKind kind, double sentAt, Outcome outcome) {
-    observations.add(new JobResult(job, kind, sentAt, observations.now(), deadline, outcome));
+    observations.add(
+        new JobResult(job, kind, sentAt, observations.now(), behaviour.deadline(), outcome));
   }
 
   /** Ends the load: no client sends another request; waits for those that are out. */
   void stop() throws InterruptedException {
     running = false;
     for (Thread thread : threads) {
-      thread.join((long) (2 * (deadline + GRACE)) + CONNECT_TIMEOUT);
+      thread.join((long) (2 * (behaviour.deadline() + GRACE)) + CONNECT_TIMEOUT);
     }
   }
 }
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/Observations.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/Observations.java
@@ -18,6 +18,7 @@
   private final List<ResourceSample> samples = new ArrayList<>();
   private final List<Fault> faults = new ArrayList<>();
   private final List<String> lostCallbacks = new ArrayList<>();
+  private final List<Departure> departures = new ArrayList<>();
   private final List<Utilisation> utilisations = new ArrayList<>();
 
   /** An attempt that reached a worker; {@code process} is what it said of its sender. */
@@ -40,6 +41,9 @@
   public record JobResult(
       String job, JobKind kind, double sentAt, double endedAt, double deadline, Outcome outcome) {}
 
+  /** A client has closed its connection while its request was open. */
+  record Departure(double at, String job) {}
+
   /** What an operator asked of a worker, or of the node. */
   public enum Verb {
     DISABLE,
@@ -110,6 +114,15 @@
     faults.add(fault);
   }
 
+  synchronized void add(Departure departure) {
+    departures.add(departure);
+  }
+
+  /** The clients that have left. */
+  synchronized List<Departure> departures() {
+    return List.copyOf(departures);
+  }
+
   synchronized void add(Utilisation utilisation) {
     utilisations.add(utilisation);
   }
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeRun.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeRun.java
@@ -248,7 +248,12 @@
 
   /** Clients that send until they are stopped. */
   ClientLoad load(int clients, double meanPause, double deadline, long seed) {
-    return new ClientLoad(launcher.clients(), observations, clients, meanPause, deadline, seed);
+    return load(clients, new ClientBehaviour(meanPause, deadline, 0), seed);
+  }
+
+  /** Clients of this behaviour that send until they are stopped. */
+  ClientLoad load(int clients, ClientBehaviour behaviour, long seed) {
+    return new ClientLoad(launcher.clients(), observations, clients, behaviour, seed);
   }
 
   /** Where clients connect. */
--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/WorkerFault.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/WorkerFault.java
@@ -1,7 +1,7 @@
 package ferngrade.faulttest.upgrade;
 
 /** What a worker does wrong. */
-enum WorkerFault {
+public enum WorkerFault {
   NONE,
   /** Reads each job and answers nothing. */
   HANGS,
--- a/node/src/main/java/ferngrade/cli/SocketHandover.java
+++ b/node/src/main/java/ferngrade/cli/SocketHandover.java
@@ -15,13 +15,13 @@
  * LB_ACCEPT_FD} names it, so that an upgrade never refuses a client, and {@code TMPDIR}, which the
  * next process shares.
  */
-final class SocketHandover {
+public final class SocketHandover {
   private SocketHandover() {}
 
   /**
    * Reads the variables; a socket named but not handed over is a configuration that cannot be used.
    */
-  static NodeServer.Platform fromEnvironment(Map<String, String> environment)
+  public static NodeServer.Platform fromEnvironment(Map<String, String> environment)
       throws ConfigException {
     return new NodeServer.Platform(
         accepted(environment.get("LB_ACCEPT_FD")), folder(environment.get("TMPDIR")));
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -239,7 +239,7 @@
    * Starts a node, with retries for a while where the machine lacks what it needs; without any on
    * an inherited socket, which a start that fails closes.
    */
-  private static NodeServer start(
+  public static NodeServer start(
       NodeConfig config,
       Platform platform,
       Clock clock,
