--- a/node/src/main/java/ferngrade/http/UpgradePeers.java
+++ b/node/src/main/java/ferngrade/http/UpgradePeers.java
@@ -68,14 +68,11 @@
   private final Map<RelayOutcome, Long> relayed = new EnumMap<>(RelayOutcome.class);
   private InetSocketAddress own;
 
-  /** Others were known, and all of them have ended. */
-  private boolean allEnded;
-
   /** What became of a callback that was relayed to the other processes. */
   public enum RelayOutcome {
     /** One of them has or had the job. */
     TAKEN,
-    /** All have answered that they never had it, or all have ended. */
+    /** All have answered that they never had it. */
     UNKNOWN,
     /** No other process is known, or one did not answer. */
     UNANSWERED
@@ -101,7 +98,6 @@
       return;
     }
     log.line("another process of this node is at " + other);
-    allEnded = false;
     if (addresses.size() > MAX_PEERS) {
       addresses.remove(addresses.iterator().next());
     }
@@ -140,7 +136,7 @@
       this.awaited = awaited;
       this.outcome = outcome;
       if (awaited == 0) {
-        end(allEnded ? RelayOutcome.UNKNOWN : RelayOutcome.UNANSWERED);
+        end(RelayOutcome.UNANSWERED);
       }
     }
 
@@ -196,7 +192,6 @@
   private void forget(InetSocketAddress address) {
     if (addresses.remove(address)) {
       log.line("the process of this node at " + address + " has ended");
-      allEnded = addresses.isEmpty();
     }
   }
 
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -10,7 +10,6 @@
 import ferngrade.dispatch.ThrottlingDispatcher;
 import ferngrade.http.Admin;
 import ferngrade.http.ArrivalClock;
-import ferngrade.http.ConnectionLimits;
 import ferngrade.http.ConnectionPool;
 import ferngrade.http.HttpFrontend;
 import ferngrade.http.RequestReader;
@@ -29,7 +28,6 @@
 import ferngrade.peer.UdpPeers;
 import ferngrade.transport.ChannelProvider;
 import ferngrade.transport.FaultOrigin;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -66,29 +64,14 @@
    */
   private static final int REQUESTS_PER_MB = 16;
 
-  /**
-   * The fewest descriptors with which a process can serve; the least that a configuration names.
-   */
-  private static final int MIN_DESCRIPTORS = 64;
-
   /**
    * How long a process at the most leaves new connections to an earlier one until it can serve, ms.
    */
   private static final double MAX_HOLD = 500;
 
-  /**
-   * How long a process that ends waits for the disk, ms: it must not outlast its budget for that.
-   */
-  private static final double MAX_LAST_STORE = 45;
-
   /** How often a process looks for what other processes of the node were told, ms. */
   private static final double REFRESH_INTERVAL = 100;
 
-  /**
-   * Operators' connections that may be open, beside all else: the staff makes one call at a time.
-   */
-  private static final int MAX_OPERATORS = 8;
-
   private final NodeConfig config;
   private final Platform platform;
   private final ChannelProvider channels;
@@ -101,6 +84,7 @@
   private final Timers timers;
   private final LoopMonitor loopMonitor;
   private final PauseDetector pauses;
+  private final ProcessLimits processLimits;
   private final HttpFrontend front;
   private final UpgradePeers upgradePeers;
   private RequestCoordinator coordinator;
@@ -112,10 +96,9 @@
 
   private Discovery discovery;
   private final CountDownLatch finished = new CountDownLatch(1);
-  private Channel adminChannel;
 
-  /** Answers operators' calls; null where they cannot call. */
-  private Admin admin;
+  /** Where operators call; null where they cannot. */
+  private OperatorsEndpoint operators;
 
   private int reloadsOk;
   private int reloadsFailed;
@@ -185,7 +168,9 @@
     // Only a process on an inherited socket can have others beside it.
     this.upgradePeers =
         platform.accepted() == null ? null : new UpgradePeers(group, timers, log, channels);
-    this.front = new HttpFrontend(limits(1), clock, arrivals, timers, upgradePeers, channels);
+    this.processLimits = new ProcessLimits(config, log);
+    this.front =
+        new HttpFrontend(processLimits.limits(1), clock, arrivals, timers, upgradePeers, channels);
   }
 
   /** Makes the dispatcher of a node, which acts through the given actions. */
@@ -298,7 +283,9 @@
 
   /** Puts the parts together, on the event loop; returns the sockets that are being bound. */
   private List<ChannelFuture> assemble() {
-    pool = new ConnectionPool(clock, timers, config.connectionIdle(), limits(1).workers());
+    pool =
+        new ConnectionPool(
+            clock, timers, config.connectionIdle(), processLimits.limits(1).workers());
     WorkerClient workers =
         new WorkerClient(group, clock, timers, pool, config.connectTimeout(), log, channels);
     peers = new UdpPeers(config.peers(), config.peersAll(), log, channels);
@@ -329,7 +316,8 @@
     }
     bound.add(front.listen(group, config.listen(), platform.accepted(), coordinator, reader, log));
     if (config.admin() != null) {
-      bound.add(listenForOperators(folder));
+      operators = operatorsEndpoint(folder);
+      bound.add(operators.listen(group, config.admin(), channels));
     }
     discovery.watch(config.discovery());
     if (sharedState != null) {
@@ -358,7 +346,7 @@
                 front,
                 upgradePeers,
                 this::discoveryMoved,
-                this::processesChanged,
+                share -> processLimits.apply(share, coordinator, front, pool),
                 loop,
                 clock,
                 timers,
@@ -377,26 +365,6 @@
     timers.after(MAX_HOLD, () -> front.holdAccepting(false));
   }
 
-  /** The limits of one of so many processes of the node: they hold for all of them together. */
-  private ConnectionLimits limits(int processes) {
-    return ConnectionLimits.within(
-        Math.max(MIN_DESCRIPTORS, config.sockets() / processes), config.memoryMb() / processes);
-  }
-
-  /** What is granted to the node is divided between its processes. */
-  private void processesChanged(ProcessShare share) {
-    log.line(
-        share.running()
-            + " processes of this node run, "
-            + share.accepting()
-            + " accept jobs, this is number "
-            + share.index());
-    coordinator.sharedBy(share.accepting(), share.index());
-    ConnectionLimits limits = limits(share.running());
-    front.limitTo(limits);
-    pool.limitTo(limits.workers());
-  }
-
   /** Another process of the node was told that discovery has moved. */
   private void discoveryMoved(DiscoveryRecord moved) {
     if (moved.former().equals(discovery.address())) {
@@ -411,8 +379,8 @@
     timers.after(REFRESH_INTERVAL, () -> refreshPeriodically(state));
   }
 
-  /** Begins to listen for operators' calls; {@code folder} is null if no state is kept. */
-  private ChannelFuture listenForOperators(StateFolder folder) {
+  /** Where operators call; {@code folder} is null if no state is kept. */
+  private OperatorsEndpoint operatorsEndpoint(StateFolder folder) {
     List<String> classes = config.settings().classes().stream().map(JobClass::name).toList();
     Admin.Parts parts =
         new Admin.Parts(
@@ -424,21 +392,7 @@
             loopMonitor,
             () -> reloadsOk,
             () -> reloadsFailed);
-    admin = new Admin(parts, timers, log, MAX_OPERATORS);
-    ChannelFuture listening = admin.listen(group, config.admin(), channels);
-    adminChannel = listening.channel();
-    if (sharedState != null && upgradePeers != null) {
-      folder.findEarlierProcess(upgradePeers);
-      listening.addListener(
-          done -> {
-            if (done.isSuccess()) {
-              sharedState.listening(adminAddress());
-              folder.saveAdminAddress(adminAddress());
-              upgradePeers.announce();
-            }
-          });
-    }
-    return listening;
+    return new OperatorsEndpoint(parts, sharedState, folder, clock, timers, log);
   }
 
   private DiscoveryWatch newWatch(InetSocketAddress address, Runnable whenListed) {
@@ -515,7 +469,7 @@
 
   /** Where the node takes operators' calls; null if it does not. */
   public InetSocketAddress adminAddress() {
-    return adminChannel == null ? null : (InetSocketAddress) adminChannel.localAddress();
+    return operators == null ? null : operators.address();
   }
 
   /** Where the node listens. */
@@ -567,7 +521,7 @@
             ShutdownBudget.of(earliest, requested, config.settings()),
             requested + grace,
             requested - earliest,
-            () -> finishOperatorsCalls(front.budget().end() + MAX_LAST_STORE, end));
+            () -> finishOperatorsCalls(end));
   }
 
   /** Leaves what was granted to this process to the others that accept jobs. */
@@ -585,25 +539,11 @@
     }
   }
 
-  /**
-   * Answers the operators' calls that have come, and stores what they ask for, until this time on
-   * the clock at most.
-   */
-  private void finishOperatorsCalls(double until, Runnable done) {
-    if (admin == null) {
-      done.run();
-      return;
-    }
-    Runnable once = new CountDown(1, done);
-    admin.finish(() -> storeLastCalls(once));
-    timers.after(Math.max(MAX_LAST_STORE, until - clock.now()), once);
-  }
-
-  private void storeLastCalls(Runnable done) {
-    if (sharedState == null) {
+  private void finishOperatorsCalls(Runnable done) {
+    if (operators == null) {
       done.run();
     } else {
-      sharedState.whenStored(done);
+      operators.finish(front.budget().end(), done);
     }
   }
 }
