Keep the operators' listener open until the moment at which the process ends

Cause: the listener was closed first and the last answers and the disk were awaited behind that; the system closes a listener that a selector holds at the next select only, so callers still got through to it, and were reset with the process.

Now the listener closes last: what waits is accepted, all calls are answered, what they ask for is stored, and the process ends in the very step in which nothing waits any more.

--- a/node/src/main/java/ferngrade/http/Admin.java
+++ b/node/src/main/java/ferngrade/http/Admin.java
@@ -72,8 +72,8 @@
   private long accepted;
   private Channel listener;
 
-  /** Null until {@link #finish}. */
-  private Runnable whenFinished;
+  /** What runs once no call is open; null if nothing waits for that. */
+  private Runnable whenAnswered;
 
   /**
    * What the operators' calls act on; {@code state} is null where nothing is to outlive the
@@ -130,25 +130,41 @@
   }
 
   /**
-   * Answers every call that has reached this machine, and then runs {@code done}: accepts the
-   * callers that wait, listens no longer, and awaits the end of each call, which takes {@link
-   * #CALL_TIMEOUT} at most where a caller sends nothing.
+   * Answers every call that has reached this machine, stores what they ask for, and then runs
+   * {@code done}, which ends the process. It listens up to that moment: a listener that closes
+   * before resets what reaches it meanwhile. A caller that sends nothing is awaited for {@link
+   * #CALL_TIMEOUT} at most.
+   *
+   * @param store runs a task once all that was answered is stored
    */
-  public void finish(Runnable done) {
-    PendingReads.acceptWaiting((AbstractNioChannel) listener, () -> accepted);
-    listener.close();
-    whenFinished = done;
-    finishIfAnswered();
+  public void finish(Consumer<Runnable> store, Runnable done) {
+    whenAnswered(() -> store.accept(() -> endUnlessCalled(store, done)));
+  }
+
+  /** Runs a task once no call is open, counting those that wait to be accepted. */
+  private void whenAnswered(Runnable task) {
+    acceptWaiting();
+    if (open.isEmpty()) {
+      task.run();
+    } else {
+      whenAnswered = task;
+    }
   }
 
-  private void finishIfAnswered() {
-    if (whenFinished != null && open.isEmpty()) {
-      Runnable done = whenFinished;
-      whenFinished = null;
+  private void endUnlessCalled(Consumer<Runnable> store, Runnable done) {
+    acceptWaiting();
+    if (open.isEmpty()) {
       done.run();
+      listener.close();
+    } else {
+      finish(store, done);
     }
   }
 
+  private void acceptWaiting() {
+    PendingReads.acceptWaiting((AbstractNioChannel) listener, () -> accepted);
+  }
+
   /**
    * A caller has connected: it gets its time, and pushes out the oldest caller where there are too
    * many.
@@ -173,7 +189,11 @@
   void closed(Channel caller) {
     callers.remove(caller);
     open.remove(caller);
-    finishIfAnswered();
+    if (whenAnswered != null && open.isEmpty()) {
+      Runnable task = whenAnswered;
+      whenAnswered = null;
+      whenAnswered(task);
+    }
   }
 
   // ---- The calls ----
--- a/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
+++ b/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
@@ -87,15 +87,15 @@
    */
   void finish(double end, Runnable done) {
     Runnable once = new CountDown(1, done);
-    admin.finish(() -> storeLastCalls(once));
+    admin.finish(this::whenStored, once);
     timers.after(Math.max(0, end - clock.now()) + MAX_LAST_STORE, once);
   }
 
-  private void storeLastCalls(Runnable done) {
+  private void whenStored(Runnable task) {
     if (sharedState == null) {
-      done.run();
+      task.run();
     } else {
-      sharedState.whenStored(done);
+      sharedState.whenStored(task);
     }
   }
 }
