--- a/node/src/main/java/ferngrade/http/Admin.java
+++ b/node/src/main/java/ferngrade/http/Admin.java
@@ -31,6 +31,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
@@ -50,6 +51,9 @@
    */
   public static final double STORE_TIMEOUT = 700;
 
+  /** Between the close of the listener and the end of the process, ms. */
+  private static final long CLOSE_DELAY = 1;
+
   /** The largest body of a call, in bytes: a relayed callback is as large as any. */
   static final int MAX_CALL_BYTES = HttpFrontend.MAX_BODY;
 
@@ -131,8 +135,8 @@
 
   /**
    * Answers every call that has reached this machine, stores what they ask for, and then runs
-   * {@code done}, which ends the process. It listens up to that moment: a listener that closes
-   * before resets what reaches it meanwhile. A caller that sends nothing is awaited for {@link
+   * {@code done}, which ends the process. It listens until nothing is left to do: who connects
+   * between the last look and the close is reset. A caller that sends nothing is awaited for {@link
    * #CALL_TIMEOUT} at most.
    *
    * @param store runs a task once all that was answered is stored
@@ -154,8 +158,10 @@
   private void endUnlessCalled(Consumer<Runnable> store, Runnable done) {
     acceptWaiting();
     if (open.isEmpty()) {
-      done.run();
       listener.close();
+      // The system closes the listener with the next select; from then on callers are refused, also
+      // while the runtime ends, which takes some ms.
+      listener.eventLoop().schedule(done, CLOSE_DELAY, TimeUnit.MILLISECONDS);
     } else {
       finish(store, done);
     }
