--- a/node/src/main/java/ferngrade/server/SharedState.java
+++ b/node/src/main/java/ferngrade/server/SharedState.java
@@ -39,9 +39,9 @@
 
   /**
    * How long after its start a process keeps a drain from before that, ms: the platform gives it 6
-   * s to be ready, some of which its start has taken.
+   * s to be ready, of which its start takes some hundred ms, and seconds on a busy machine.
    */
-  private static final double MAX_EARLIER_DRAIN = 4000;
+  private static final double MAX_EARLIER_DRAIN = 2500;
 
   private static final long OWN_PID = ProcessHandle.current().pid();
 
