Accept what waits at a listener that closes only as far as it fits

Cause: PendingReads.acceptWaiting accepts all that waits, here hundreds of probes of the spinning test; at the limit ClientConnections.enforceLimit evicts connections that are closing first, among them the client's.

--- a/node/src/main/java/ferngrade/http/Admin.java
+++ b/node/src/main/java/ferngrade/http/Admin.java
@@ -168,7 +168,8 @@
   }
 
   private void acceptWaiting() {
-    PendingReads.acceptWaiting((AbstractNioChannel) listener, () -> accepted);
+    PendingReads.acceptWaiting(
+        (AbstractNioChannel) listener, () -> accepted, () -> open.size() < most);
   }
 
   /**
--- a/node/src/main/java/ferngrade/http/ClientConnections.java
+++ b/node/src/main/java/ferngrade/http/ClientConnections.java
@@ -3,6 +3,7 @@
 import ferngrade.http.AcceptSwitch.Reason;
 import ferngrade.node.Clock;
 import ferngrade.node.Timers;
+import ferngrade.transport.PendingReads;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -84,6 +85,11 @@
     return accepted;
   }
 
+  /** True while as many connections as one accept may bring fit without closing others. */
+  boolean hasCapacity() {
+    return open.size() + PendingReads.MAX_ACCEPTS < limits.clients();
+  }
+
   /** A connection has been accepted. */
   void opened(ClientConnectionHandler connection) {
     accepted++;
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -114,12 +114,13 @@
   }
 
   /**
-   * Listens no longer. What waits to be accepted is accepted before, except on a socket that
-   * another process shares, which accepts it.
+   * Listens no longer. What waits to be accepted is accepted before, as far as it fits: others must
+   * not lose an answer for it. On a socket that another process shares, that one accepts it.
    */
   private void stopListening() {
     if (!inherited && listener.isActive()) {
-      PendingReads.acceptWaiting((AbstractNioChannel) listener, connections::accepted);
+      PendingReads.acceptWaiting(
+          (AbstractNioChannel) listener, connections::accepted, connections::hasCapacity);
     }
     listener.close();
   }
--- a/node/src/main/java/ferngrade/transport/PendingReads.java
+++ b/node/src/main/java/ferngrade/transport/PendingReads.java
@@ -1,6 +1,7 @@
 package ferngrade.transport;
 
 import io.netty.channel.nio.AbstractNioChannel;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -12,8 +13,8 @@
   /** Bytes read in one go at most: more than the system holds for one connection by default. */
   private static final int MAX_BYTES = 8 << 20;
 
-  /** Connections accepted in one go at most: more than a listener's backlog holds. */
-  private static final int MAX_WAITING = 4096;
+  /** Connections that one read of a listener accepts at most, by the default of Netty. */
+  public static final int MAX_ACCEPTS = 16;
 
   private PendingReads() {}
 
@@ -31,14 +32,15 @@
    * would reset them, and with them what their peers have sent.
    *
    * @param accepted the count of connections accepted so far
+   * @param capacity true while {@link #MAX_ACCEPTS} more connections fit
    */
-  public static void acceptWaiting(AbstractNioChannel listener, LongSupplier accepted) {
-    long limit = accepted.getAsLong() + MAX_WAITING;
-    long before;
-    do {
+  public static void acceptWaiting(
+      AbstractNioChannel listener, LongSupplier accepted, BooleanSupplier capacity) {
+    long before = -1;
+    while (listener.isActive() && accepted.getAsLong() > before && capacity.getAsBoolean()) {
       before = accepted.getAsLong();
       listener.unsafe().read();
-    } while (listener.isActive() && accepted.getAsLong() > before && accepted.getAsLong() < limit);
+    }
   }
 
   /**
