--- /dev/null
+++ b/emulator/src/test/java/ferngrade/emulator/ReleaseRun.java
@@ -0,0 +1,207 @@
+package ferngrade.emulator;
+
+import ferngrade.dispatch.WorkerState;
+import ferngrade.emulator.Request.Answer;
+import ferngrade.emulator.policy.Policies;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * A fleet of many dispatchers, most of whose workers are replaced by cold ones, and its figures.
+ */
+final class ReleaseRun implements Observer {
+  static final double RELEASE_AT_MS = 5_000;
+  static final double RELEASE_MS = 10_000;
+  static final double DURATION_MS = 45_000;
+
+  private static final double SECOND_MS = 1_000;
+
+  /** Figures of one second of the run. */
+  static final class Second {
+    int offered;
+    int inTime;
+    int late;
+    int rejected;
+    double coldAllowed;
+    double coldSent;
+    double inFlight;
+    double cores;
+    double busyCores;
+  }
+
+  private record Reached(double at, double work) {}
+
+  private final Scenario scenario;
+  private final List<Second> seconds = new ArrayList<>();
+  private final Map<EmulatedWorker, Deque<Reached>> windows = new HashMap<>();
+  private final Set<EmulatedWorker> workers = new HashSet<>();
+
+  /** The largest share of the page's bound that a cold worker got in a window. */
+  double worstShareOfBound;
+
+  int fallen;
+
+  ReleaseRun(Scenario scenario) {
+    this.scenario = scenario;
+  }
+
+  /** 100 dispatchers with one to three requests a second each; most workers are replaced. */
+  static Scenario scenario() {
+    Scenario scenario = Scenario.standard();
+    scenario.nodes = 100;
+    scenario.workers = 60;
+    scenario.duration = DURATION_MS;
+    scenario.workload.load = 0.6;
+    scenario.discovery.weightPeriod = 900;
+    scenario.discovery.weightLate = 500;
+    for (KindSpec kind : scenario.kinds) {
+      kind.coldStart = 0.2;
+      kind.coldMs = 16_000;
+    }
+    Fault release = new Fault(Fault.Kind.DEPLOY, RELEASE_AT_MS, RELEASE_MS, 0.1, 0.6, -1);
+    scenario.faults.add(release);
+    return scenario;
+  }
+
+  static ReleaseRun play(Scenario scenario, long seed, String policy) {
+    ReleaseRun figures = new ReleaseRun(scenario);
+    VirtualRun run =
+        new VirtualRun(scenario, seed, Policies.named(policy), Mutation.NONE, List.of(figures));
+    run.run();
+    return figures;
+  }
+
+  List<Second> seconds() {
+    return seconds;
+  }
+
+  private Second at(double now) {
+    int index = (int) ((now - VirtualRun.START) / SECOND_MS);
+    while (seconds.size() <= index) {
+      seconds.add(new Second());
+    }
+    return seconds.get(index);
+  }
+
+  @Override
+  public void due(double now, Request request) {
+    at(now).offered++;
+  }
+
+  @Override
+  public void ended(double now, Request request, Answer answer) {
+    ClassSpec jobClass = scenario.workload.classes.get(request.jobClass);
+    Second second = at(request.due);
+    if (answer == Answer.SERVED) {
+      boolean inTime = now - request.due <= jobClass.aim + jobClass.stretch * request.work;
+      second.inTime += inTime ? 1 : 0;
+      second.late += inTime ? 0 : 1;
+    } else if (answer == Answer.REFUSED) {
+      second.rejected++;
+    }
+  }
+
+  @Override
+  public void reached(double now, EmulatedWorker worker, Request request, boolean informed) {
+    double work = request.work;
+    Deque<Reached> window = windows.computeIfAbsent(worker, key -> new ArrayDeque<>());
+    window.add(new Reached(now, work));
+    while (window.peek().at() <= now - scenario.tipMs) {
+      window.remove();
+    }
+    double sum = window.stream().mapToDouble(Reached::work).sum() / scenario.workload.meanWork();
+    worstShareOfBound = Math.max(worstShareOfBound, sum / bound(allowed(worker, now)));
+    at(now).coldSent += work / scenario.workload.meanWork();
+  }
+
+  /** Requests of mean work that the settings allow a cold worker in a window. */
+  private double allowed(EmulatedWorker worker, double now) {
+    double age = now - worker.model.startedAt();
+    double warmth =
+        scenario.startCapacity + (1 - scenario.startCapacity) * Math.min(1, age / scenario.coldMs);
+    KindSpec kind = scenario.kinds.get(worker.kind);
+    double capacity = warmth * kind.cores * kind.speed / scenario.workload.meanWork();
+    return scenario.fallMultiple * capacity * scenario.tipMs;
+  }
+
+  /** The page's bound over what the settings allow. */
+  static double bound(double allowed) {
+    return allowed < 30
+        ? allowed + 3 * Math.sqrt(allowed) + 3
+        : allowed + 2 * Math.sqrt(allowed) + 2;
+  }
+
+  @Override
+  public void told(
+      double now, int node, EmulatedWorker worker, WorkerState state, double startedAt) {
+    workers.add(worker);
+  }
+
+  @Override
+  public void slice(double now, int node, double slots) {
+    if (node != 0) {
+      return;
+    }
+    Second second = at(now);
+    for (EmulatedWorker worker : workers) {
+      if (worker.model.up()) {
+        second.coldAllowed += worker.model.cold() ? allowed(worker, now) / scenario.tipMs * 500 : 0;
+        second.inFlight += (worker.model.running() + worker.model.waiting()) / 2.0;
+        second.cores += worker.model.capacity() / 2;
+        second.busyCores += busyShare(worker) * worker.model.capacity() / 2;
+      }
+    }
+  }
+
+  private double busyShare(EmulatedWorker worker) {
+    return Math.min(1, worker.model.running() / scenario.kinds.get(worker.kind).cores);
+  }
+
+  @Override
+  public void fell(double now, EmulatedWorker worker, double informedShare) {
+    fallen++;
+  }
+
+  /** The share in time of the requests that were due in these seconds. */
+  double inTime(int from, int until) {
+    return sum(from, until, second -> second.inTime) / sum(from, until, second -> second.offered);
+  }
+
+  /**
+   * Of what the settings allow all cold workers to get, the share that was sent in the seconds of
+   * these in which at least a tenth of the requests was rejected or late.
+   */
+  double usedOfAllowed(int from, int until) {
+    ToDoubleFunction<Second> pressed =
+        second -> 10 * (second.rejected + second.late) >= second.offered ? 1 : 0;
+    double sent = sum(from, until, second -> pressed.applyAsDouble(second) * second.coldSent);
+    double allowed = sum(from, until, second -> pressed.applyAsDouble(second) * second.coldAllowed);
+    return sent / allowed;
+  }
+
+  /** When the last new worker is warm, ms from the run's start. */
+  double lastWarmAt() {
+    double last = workers.stream().mapToDouble(each -> each.model.startedAt()).max().orElseThrow();
+    return last - VirtualRun.START + scenario.kinds.get(0).coldMs;
+  }
+
+  /** The first second from which on the share in time over three seconds is back to this. */
+  int backAt(double share) {
+    int second = (int) (DURATION_MS / SECOND_MS) - 3;
+    while (second > 0 && inTime(second - 1, second + 2) >= share) {
+      second--;
+    }
+    return second;
+  }
+
+  private double sum(int from, int until, ToDoubleFunction<Second> figure) {
+    return seconds.subList(from, until).stream().mapToDouble(figure).sum();
+  }
+}
