Use the grants of cold workers: look at them in each selection, by their listed load

Callers: after a release 60% of the requests were rejected for 20 s while 40% of the cores, those of the new workers, were free.

Cause, by runs of ReleaseRun that change one thing each (docs/design/slow-start.md): WorkerSelector draws eight workers a pool and mostly missed the one that its dispatcher had a grant for; and CandidateCost took a worker without an attempt from here for one with its group's mean wait and the mean of the held slots, those of the crowded warm ones. Excluded: slice and quotas (no rejection as quota), service times learned on cold workers (no difference), the life of a grant (no difference).

Before the last resort all preferred workers are looked at once.

WorkerSelectorTest: two new cases fail without the looks.

--- a/dispatch/src/main/java/ferngrade/dispatch/CandidateCost.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/CandidateCost.java
@@ -15,28 +15,26 @@
   private final WorkerRegistry registry;
   private final ServiceTimeEstimator serviceTimes;
   private final WaitEstimator waits;
+  private final SlowStartGate slowStart;
 
   CandidateCost(
       DispatcherSettings settings,
       WorkerRegistry registry,
       ServiceTimeEstimator serviceTimes,
-      WaitEstimator waits) {
+      WaitEstimator waits,
+      SlowStartGate slowStart) {
     this.settings = settings;
     this.registry = registry;
     this.serviceTimes = serviceTimes;
     this.waits = waits;
+    this.slowStart = slowStart;
   }
 
-  /**
-   * Slots held from here first, each worth a mean service time over the worker's slots, where
-   * reports show these: many dispatchers that went by the listed sizes would crowd the large
-   * workers. Then waits, speed, fetch and zone.
-   */
+  /** Waits, speed, fetch and zone. */
   double of(PendingRequest request, WorkerStats worker, double now) {
     double missing = worker.objects.missing(request.job.object(), worker.id);
     double cost =
-        registry.effectiveHeldSlots(worker) * serviceTimes.mean() / worker.group.slots
-            + waits.expected(worker, now)
+        queueing(worker, now)
             + SERVICE_TIME_WEIGHT * serviceTimes.timeAt(request, worker)
             + FETCH_COST * serviceTimes.meanWork() * missing;
     if (!registry.isLocal(worker)) {
@@ -45,4 +43,19 @@
     }
     return cost + registry.roundTripTime(worker);
   }
+
+  /**
+   * The wait for a start. At a worker that is warming up it follows the listed load alone: the few
+   * dispatchers that have a grant there cannot crowd it, and none has seen waits of its own there.
+   * Else slots held from here come first, each worth a mean service time over the worker's slots,
+   * where reports show these: many dispatchers that went by the listed sizes would crowd the large
+   * workers.
+   */
+  private double queueing(WorkerStats worker, double now) {
+    if (slowStart.warmingUp(worker, now) && waits.followsLoads()) {
+      return waits.byListedLoad(worker, now);
+    }
+    return registry.effectiveHeldSlots(worker) * serviceTimes.mean() / worker.group.slots
+        + waits.expected(worker, now);
+  }
 }
--- a/dispatch/src/main/java/ferngrade/dispatch/SlowStart.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/SlowStart.java
@@ -20,6 +20,12 @@
    */
   private static final double LIMIT_SHARE = 0.35;
 
+  /**
+   * Grants of a window beyond that, times the root of the limit: the limit has a slack for chance
+   * of twice its root, and no more can be used in one window.
+   */
+  private static final double ROOT_SHARE = 0.5;
+
   /**
    * Windows after which an unused grant expires: one dispatcher of many has few requests to use it
    * for.
@@ -180,7 +186,8 @@
   /** The grants of this dispatcher in one window, at this age of the worker. */
   private double grants(double capacity, double age) {
     double limit = rule.fallMultiple() * warmthAt(age) * capacity * rule.tipMs() / 1000;
-    return Math.max(LEAST_GRANTS, LIMIT_SHARE * limit) / participants();
+    double dealt = LIMIT_SHARE * limit + ROOT_SHARE * Math.sqrt(limit);
+    return Math.max(LEAST_GRANTS, dealt) / participants();
   }
 
   private double warmthAt(double age) {
--- a/dispatch/src/main/java/ferngrade/dispatch/ThrottlingDispatcher.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/ThrottlingDispatcher.java
@@ -60,12 +60,12 @@
     outliers = new OutlierDetector(registry, serviceTimes, random);
     grants = new SlowStart(settings.cold(), settings.me(), dispatchers);
     fleetLoad = new FleetLoadMeter(registry, outliers, grants);
-    slowStart = new SlowStartGate(grants, serviceTimes, budget, fleetLoad);
+    slowStart = new SlowStartGate(registry, grants, serviceTimes, budget, fleetLoad);
     retries = new RetryPolicy(settings.limits(), settings.roundMs());
     hedging = new HedgingPolicy(settings, registry, deadlines, retries);
     CandidateFilter filter = new CandidateFilter(retries, slowStart, outliers, deadlines, budget);
-    CandidateCost cost = new CandidateCost(settings, registry, serviceTimes, waits);
-    selector = new WorkerSelector(registry, filter, cost, outliers, random);
+    CandidateCost cost = new CandidateCost(settings, registry, serviceTimes, waits, slowStart);
+    selector = new WorkerSelector(registry, slowStart, filter, cost, outliers, random);
     idle = new IdleCapacity(registry, outliers, grants);
     outcomes = new AttemptOutcomeHandler(registry, outliers, budget, serviceTimes, retries, idle);
     startTimers();
@@ -328,6 +328,7 @@
     if (token == CYCLE_TOKEN) {
       budgetCycle.run(fleetLoad, serviceTimes.meanWork(), now);
       idle.startCycle(now);
+      slowStart.startCycle(now);
       actions.timer(BudgetCycle.PERIOD_MS, CYCLE_TOKEN);
     } else if (token == WATCH_TOKEN) {
       actions.watch();
--- a/dispatch/src/main/java/ferngrade/dispatch/WaitEstimator.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/WaitEstimator.java
@@ -63,6 +63,11 @@
         : observed;
   }
 
+  /** True while the endpoint list shows the load of each worker. */
+  boolean followsLoads() {
+    return budget.followsLoads();
+  }
+
   /** The wait by the listed jobs for each core and those sent that the list cannot show yet. */
   double byListedLoad(WorkerStats worker, double now) {
     double slowness = worker.group.slowness;
--- a/dispatch/src/main/java/ferngrade/dispatch/WorkerRegistry.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/WorkerRegistry.java
@@ -51,6 +51,9 @@
     WorkerStats worker = workers.get(entry.id());
     if (worker == null || worker.entry.startedAt() != entry.startedAt()) {
       // A restarted process shares nothing with the old one: neither its jobs nor what was learned.
+      if (worker != null) {
+        worker.listed = false;
+      }
       worker = new WorkerStats(entry, classes);
       workers.put(entry.id(), worker);
     }
--- a/dispatch/src/main/java/ferngrade/dispatch/WorkerSelector.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/WorkerSelector.java
@@ -13,7 +13,18 @@
   /** Pool up to which all are looked at for a job that needs an object, which any may have. */
   private static final int MAX_OBJECT_SCAN = 32;
 
+  /** Which workers one look takes in. */
+  private enum Extent {
+    /** Some of the healthy ones that start the request in time, and those with a grant. */
+    SAMPLE,
+    /** All healthy ones that start the request in time. */
+    ALL_PREFERRED,
+    /** All to which the request may go. */
+    ALL_PERMITTED
+  }
+
   private final WorkerRegistry registry;
+  private final SlowStartGate slowStart;
   private final CandidateFilter filter;
   private final CandidateCost cost;
   private final OutlierDetector outliers;
@@ -21,11 +32,13 @@
 
   WorkerSelector(
       WorkerRegistry registry,
+      SlowStartGate slowStart,
       CandidateFilter filter,
       CandidateCost cost,
       OutlierDetector outliers,
       SplittableRandom random) {
     this.registry = registry;
+    this.slowStart = slowStart;
     this.filter = filter;
     this.cost = cost;
     this.outliers = outliers;
@@ -34,13 +47,16 @@
 
   /** The best worker; failing any good one, the one that is blocked least. Null if none may be. */
   WorkerStats select(PendingRequest request, Attempt groupAttempt, double now) {
-    WorkerStats best = new Scan(request, groupAttempt, now, false).run();
-    return best != null ? best : new Scan(request, groupAttempt, now, true).run();
+    WorkerStats best = selectPreferred(request, groupAttempt, now);
+    if (best == null) {
+      best = new Scan(request, groupAttempt, now, Extent.ALL_PREFERRED).run();
+    }
+    return best != null ? best : new Scan(request, groupAttempt, now, Extent.ALL_PERMITTED).run();
   }
 
   /** The best worker among the good ones; null if there is none. */
   WorkerStats selectPreferred(PendingRequest request, Attempt groupAttempt, double now) {
-    return new Scan(request, groupAttempt, now, false).run();
+    return new Scan(request, groupAttempt, now, Extent.SAMPLE).run();
   }
 
   /** One look over the workers, which draws one random number for the tie-break of each. */
@@ -48,20 +64,23 @@
     private final PendingRequest request;
     private final Attempt groupAttempt;
     private final double now;
-    private final boolean lastResort;
+    private final Extent extent;
     private WorkerStats best;
     private double minCost = Double.POSITIVE_INFINITY;
 
-    Scan(PendingRequest request, Attempt groupAttempt, double now, boolean lastResort) {
+    Scan(PendingRequest request, Attempt groupAttempt, double now, Extent extent) {
       this.request = request;
       this.groupAttempt = groupAttempt;
       this.now = now;
-      this.lastResort = lastResort;
+      this.extent = extent;
     }
 
     WorkerStats run() {
       scan(registry.local());
       scan(registry.remote());
+      if (!exhaustive()) {
+        slowStart.granted().stream().filter(worker -> worker.listed).forEach(this::consider);
+      }
       return best;
     }
 
@@ -73,19 +92,24 @@
       }
     }
 
+    private boolean exhaustive() {
+      return groupAttempt != null || extent != Extent.SAMPLE;
+    }
+
     private int looks(int size) {
-      boolean exhaustive = groupAttempt != null || lastResort;
       boolean object = request.job.object() != 0;
-      return exhaustive || (object && size <= MAX_OBJECT_SCAN) ? size : Math.min(size, SAMPLE_SIZE);
+      return exhaustive() || (object && size <= MAX_OBJECT_SCAN)
+          ? size
+          : Math.min(size, SAMPLE_SIZE);
     }
 
     private void consider(WorkerStats worker) {
       if (!filter.permits(request, groupAttempt, worker, now)
-          || (!lastResort && !filter.prefers(request, worker, now))) {
+          || (extent != Extent.ALL_PERMITTED && !filter.prefers(request, worker, now))) {
         return;
       }
       double candidateCost = cost.of(request, worker, now) + random.nextDouble();
-      if (lastResort) {
+      if (extent == Extent.ALL_PERMITTED) {
         double blockedUntil = outliers.blockedUntil(worker, request.job.jobClass());
         candidateCost += Math.max(0, blockedUntil - now);
       }
