Force an operators' call between the last look and the close: it is reset and gets no yes

The last millisecond was described, not forced. WaitingAtShutdownTest now runs the call inside the listener's close, behind the last look: the kernel has completed the connection, the close resets it; the caller sees that at once, never a yes and no hang.

--- a/node/src/test/java/ferngrade/server/WaitingAtShutdownTest.java
+++ b/node/src/test/java/ferngrade/server/WaitingAtShutdownTest.java
@@ -2,28 +2,28 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertThrows;
 
 import com.eclipsesource.json.Json;
 import ferngrade.config.NodeConfig;
 import ferngrade.http.RawHttp;
 import ferngrade.node.Clock;
 import ferngrade.node.RateLimitedLog;
+import ferngrade.transport.ChannelProvider;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.SocketException;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/**
- * The event loop of a process that ends is held up, and requests and operators' calls reach the
- * machine meanwhile: on connections that wait to be accepted, and on ones that have carried no job
- * yet. When the loop goes on, its next step is to close both. The listening socket was closed with
- * the connections that waited there, which resets them; what lay on the others was read and
- * dropped. An operator's call that ends so binds the node all the same, one second after it was
- * made, and nobody knew of it (upgrade soak, seed 121).
- */
+/** Guards against requests and operators' calls that a process that ends resets or drops. */
 @Test(timeOut = 30_000)
 public class WaitingAtShutdownTest {
   private static final String NO_MORE_JOBS = "no more jobs are accepted";
@@ -36,6 +36,7 @@
   private CountDownLatch release;
   private volatile String holdAt;
   private volatile boolean holding;
+  private volatile Callable<?> beforeClose;
   private NodeServer node;
   private CompletableFuture<Void> stopped;
 
@@ -45,6 +46,7 @@
     release = new CountDownLatch(1);
     holdAt = null;
     holding = false;
+    beforeClose = null;
     Path folder = Files.createTempDirectory("waiting");
     String config =
         "{'name':'n0','listen':'127.0.0.1:0','admin':'127.0.0.1:0','discovery':'127.0.0.1:1',"
@@ -59,7 +61,31 @@
             NodeConfig.read(Json.parse(config.replace('\'', '"')).asObject()),
             new NodeServer.Platform(null, folder),
             clock,
-            new RateLimitedLog(clock, this::log));
+            new RateLimitedLog(clock, this::log),
+            channels());
+  }
+
+  /** Ordinary sockets, but for the operators' listener, which runs {@link #beforeClose} first. */
+  private ChannelProvider channels() {
+    return new ChannelProvider() {
+      @Override
+      public ServerChannel listener(Purpose purpose, ServerSocketChannel inherited) {
+        return purpose == Purpose.ADMIN
+            ? new ClosingListener()
+            : ChannelProvider.SOCKETS.listener(purpose, inherited);
+      }
+    };
+  }
+
+  /** A listener that lets something happen after the last look at it and before its close. */
+  private final class ClosingListener extends NioServerSocketChannel {
+    @Override
+    protected void doClose() throws Exception {
+      if (beforeClose != null) {
+        beforeClose.call();
+      }
+      super.doClose();
+    }
   }
 
   @AfterMethod(alwaysRun = true)
@@ -144,4 +170,21 @@
       assertEquals(open.read().status(), YES);
     }
   }
+
+  /** Fails where a call that this process can't answer any more seems answered, or hangs. */
+  @Test
+  public void operatorsCallBehindTheLastLookIsResetAndGetsNoYes() throws Exception {
+    CompletableFuture<RawHttp> late = new CompletableFuture<>();
+    beforeClose =
+        () -> {
+          RawHttp caller = RawHttp.to(node.adminAddress());
+          caller.write(RawHttp.message("POST /-/menu-workers/s-1/disable HTTP/1.1", ""));
+          return late.complete(caller);
+        };
+    stopAndHoldAt(SHUTDOWN_ENDS);
+    release.countDown();
+    try (RawHttp caller = late.get()) {
+      assertThrows(SocketException.class, caller::read);
+    }
+  }
 }
