--- a/node/src/main/java/ferngrade/node/RequestCoordinator.java
+++ b/node/src/main/java/ferngrade/node/RequestCoordinator.java
@@ -27,7 +27,7 @@
  */
 public final class RequestCoordinator {
   /** The node fails a request itself this long after its deadline, ms, if it is still pending. */
-  private static final double GUARD = 10;
+  static final double GUARD = 10;
 
   private final Clock clock;
   private final Timers timers;
--- a/node/src/test/java/ferngrade/node/RequestCoordinatorTest.java
+++ b/node/src/test/java/ferngrade/node/RequestCoordinatorTest.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** The node between a scripted module and scripted workers, on a clock that the test sets. */
@@ -327,6 +328,50 @@
   }
 
   /** What the module asks for goes out with the next turn; any event brings one about. */
+  /** States of an attempt at the moment in which the loop is held up. */
+  private enum HeldUpAt {
+    NOT_SENT,
+    SENT,
+    WRITTEN,
+    STARTED
+  }
+
+  @DataProvider
+  public Object[][] holdUps() {
+    List<Object[]> cases = new ArrayList<>();
+    for (HeldUpAt state : HeldUpAt.values()) {
+      for (double millis : new double[] {200, 400, 600, 800, 1000, 1500}) {
+        cases.add(new Object[] {state, millis});
+      }
+    }
+    return cases.toArray(Object[][]::new);
+  }
+
+  /**
+   * Fails where a loop held up over a deadline leaves a request unanswered, or answers it twice.
+   */
+  @Test(dataProvider = "holdUps")
+  public void requestIsAnsweredOnceAtTheFirstTurnBehindAHoldUp(HeldUpAt state, double millis) {
+    request("a", now + 5_000);
+    if (state != HeldUpAt.NOT_SENT) {
+      send("a", 1);
+    }
+    if (state.compareTo(HeldUpAt.WRITTEN) >= 0) {
+      sent.get(0).written();
+    }
+    if (state == HeldUpAt.STARTED) {
+      say("a", "s-1", WorkerCallback.State.STARTED);
+    }
+    pass(4_990);
+    assertEquals(answers, List.of());
+    pass(RequestCoordinator.GUARD + millis);
+    assertEquals(answers, List.of("failed"));
+    say("a", "s-1", WorkerCallback.State.DONE);
+    pass(10_000);
+    assertEquals(answers, List.of("failed"));
+    assertEquals(node.open(), 0);
+  }
+
   private void turn() {
     node.heard(0, new byte[0]);
     run();
