Trace late answers only from a fifth of the slack on: others crowd the telling ones out

The new case of RequestCoordinatorTest fails without the bound (two traces for answers 90 and 110 ms late), passes with it.

--- a/node/src/main/java/ferngrade/node/PendingRequest.java
+++ b/node/src/main/java/ferngrade/node/PendingRequest.java
@@ -6,6 +6,9 @@
 
 /** One client's request: its attempts, and whether its final answer has been given. */
 final class PendingRequest {
+  /** A fifth of the time for which a late answer still counts as one. */
+  private static final double REPORTED_LATENESS_MS = 100;
+
   final Job job;
   final JobRequest call;
   final List<Attempt> attempts = new ArrayList<>(2);
@@ -48,9 +51,9 @@
     return answeredAt;
   }
 
-  /** True if the answer came after the client's deadline. */
+  /** True if the answer came so long after the client's deadline that it is worth a trace. */
   boolean answeredLate() {
-    return answer != FinalAnswer.ABANDONED && answeredAt > job.due();
+    return answer != FinalAnswer.ABANDONED && answeredAt > job.due() + REPORTED_LATENESS_MS;
   }
 
   boolean completed() {
--- a/node/src/test/java/ferngrade/node/RequestCoordinatorTest.java
+++ b/node/src/test/java/ferngrade/node/RequestCoordinatorTest.java
@@ -28,6 +28,7 @@
   private final List<String> heard = new ArrayList<>();
   private final List<String> answers = new ArrayList<>();
   private final List<String> given = new ArrayList<>();
+  private final List<String> log = new ArrayList<>();
   private final List<WorkerTransport.Listener> sent = new ArrayList<>();
   private final Deque<Runnable> tasks = new ArrayDeque<>();
   private double now;
@@ -37,7 +38,7 @@
 
   @BeforeMethod
   public void start() {
-    List.of(heard, answers, given, sent).forEach(List::clear);
+    List.of(heard, answers, given, sent, log).forEach(List::clear);
     tasks.clear();
     now = 1000;
     Clock clock = () -> now;
@@ -50,7 +51,7 @@
                 tasks::add,
                 new ScriptedWorkers(),
                 (peer, message) -> {},
-                new RateLimitedLog(clock, line -> {})),
+                new RateLimitedLog(clock, log::add)),
             new RequestCoordinator.RequestLimits(2, 100, 700),
             asked -> {
               actions = asked;
@@ -372,6 +373,20 @@
     assertEquals(node.open(), 0);
   }
 
+  /** Fails where answers that are hardly late crowd the traces of others out of the log. */
+  @Test
+  public void onlyAnswersThatAreLateByAFifthOfTheSlackAreTraced() {
+    for (double late : new double[] {90, 110}) {
+      request("a" + late, now + 5_000);
+      now += 5_000 + late;
+      actions.refuse("a" + late, 0);
+      turn();
+    }
+    List<String> traced = log.stream().filter(line -> line.contains("answered-late")).toList();
+    assertEquals(traced.size(), 1, log.toString());
+    assertTrue(traced.get(0).contains("id=a110"), traced.get(0));
+  }
+
   private void turn() {
     node.heard(0, new byte[0]);
     run();
