--- a/dispatch/src/main/java/ferngrade/dispatch/IdleCapacity.java
+++ b/dispatch/src/main/java/ferngrade/dispatch/IdleCapacity.java
@@ -15,16 +15,10 @@
   private final OutlierDetector outliers;
   private final SlowStart slowStart;
 
-  /**
-   * Requests beyond the budget in one cycle, for each that was served in the cycle before: what is
-   * admitted grows as fast as outcomes prove it, and a burst cannot run ahead of them.
-   */
+  /** Requests beyond the budget in one cycle, for each that was served in the cycle before. */
   private static final double GROWTH = 1;
 
-  /**
-   * Requests beyond the budget in one cycle for each core that counts, so that there is a
-   * beginning: what half of it does with jobs of 100 ms.
-   */
+  /** Requests beyond the budget in one cycle for each core, before any was served. */
   private static final double FIRST_PER_CORE = 2.5;
 
   /** This dispatcher's part of the cores that count, as of the last budget cycle. */
--- a/faulttest/src/test/java/ferngrade/faulttest/upgrade/HeldUpShutdownTest.java
+++ b/faulttest/src/test/java/ferngrade/faulttest/upgrade/HeldUpShutdownTest.java
@@ -13,14 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 
-/**
- * The machine stops a process for half a second, and the platform's SIGTERM comes just then. The
- * node counts all phases of its shutdown from the moment at which it gets to see the signal: it
- * accepts a request 0.8 s after the signal, as if that were 0.3 s, and means to answer it 0.2 s
- * after the platform's SIGKILL. On the broken roll day a request was taken 0.80 s after SIGTERM and
- * had no answer; a node that knew the time would have rejected it at once, as it accepts none from
- * 0.55 s on.
- */
+/** Guards against requests lost where a process is held up while its SIGTERM comes. */
 @ExtendWith(SkipKnownFailures.class)
 class HeldUpShutdownTest {
   private static final int WORKERS = 2;
