Rehearse with the configuration's own class and tenant, and report the plays

It takes the first class and tenant of its settings now, with a key, as a class may ask for one. FirstUseClassLoadingTest failed without the key (jobs refused), passes with it; the rehearsal is complete on examples/node.json.

--- a/node/src/main/java/ferngrade/cli/Rehearsal.java
+++ b/node/src/main/java/ferngrade/cli/Rehearsal.java
@@ -2,6 +2,7 @@
 
 import ferngrade.config.ConfigException;
 import ferngrade.config.NodeConfig;
+import ferngrade.dispatch.DispatcherSettings;
 import ferngrade.server.NodeServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -30,6 +31,8 @@
   private final Map<String, String> environment;
   private final RehearsalPlatform platform = new RehearsalPlatform();
   private final RehearsalPlatform movedTo = new RehearsalPlatform();
+  private String jobClass;
+  private String tenant;
   private long jobs;
 
   /** Prepares a rehearsal of a node that is started with these variables. */
@@ -44,8 +47,13 @@
     return environment;
   }
 
-  /** Plays everything; what fails is left out, and the classes it needs with it. */
-  void play(NodeServer server) throws InterruptedException {
+  /**
+   * Plays everything, with the first class and tenant of these settings; what fails is left out,
+   * and the classes it needs with it.
+   */
+  void play(NodeServer server, DispatcherSettings settings) throws InterruptedException {
+    jobClass = settings.classes().get(0).name();
+    tenant = settings.tenants().get(0).name();
     platform.node(server.address());
     movedTo.node(server.address());
     try {
@@ -86,9 +94,9 @@
 
   private String job(int deadlineMs) {
     return String.format(
-        "POST /api HTTP/1.1\r\nHost: node\r\nReq-Id: %016x\r\nReq-Kind: order\r\n"
-            + "Req-Owner: hill-view\r\nReq-Deadline: %dm",
-        ++jobs, deadlineMs);
+        "POST /api HTTP/1.1\r\nHost: node\r\nReq-Id: %1$016x\r\nIdempotency-Key: %1$016x\r\n"
+            + "Req-Kind: %2$s\r\nReq-Owner: %3$s\r\nReq-Deadline: %4$dm",
+        ++jobs, jobClass, tenant, deadlineMs);
   }
 
   private static void unreadableRequests(InetSocketAddress node) throws IOException {
--- a/node/src/main/java/ferngrade/cli/Serve.java
+++ b/node/src/main/java/ferngrade/cli/Serve.java
@@ -71,7 +71,7 @@
       return 1;
     }
     if (rehearsal != null) {
-      rehearsal.play(server);
+      rehearsal.play(server, config.settings());
       server.stop();
       return 0;
     }
