Split what operators' calls do, and the metrics page, from the operators' listener

Cause: Admin held listening, calls and metrics in 367 lines, and the rule on who gives way among callers stood between them. Change: Admin listens (159 lines), OperatorCalls does what is asked (172), MetricsPage writes the metrics (81); no behaviour changes. Measured: AdminIntegrationTest passes unchanged but for the class that names the store timeout; compiled with all warnings as errors.

--- a/node/src/main/java/ferngrade/http/Admin.java
+++ b/node/src/main/java/ferngrade/http/Admin.java
@@ -1,17 +1,6 @@
 package ferngrade.http;
 
-import ferngrade.config.EndpointListParser;
-import ferngrade.dispatch.RejectionCause;
-import ferngrade.node.DurationBuckets;
-import ferngrade.node.LoopMonitor;
-import ferngrade.node.NodeMetrics;
-import ferngrade.node.OperatorState;
-import ferngrade.node.RateLimitedLog;
-import ferngrade.node.RejectionReason;
-import ferngrade.node.RequestCoordinator;
 import ferngrade.node.Timers;
-import ferngrade.node.WithheldReason;
-import ferngrade.node.WorkerCallback;
 import ferngrade.transport.ChannelProvider;
 import ferngrade.transport.ChannelProvider.Purpose;
 import ferngrade.transport.PendingReads;
@@ -27,47 +16,29 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.IntSupplier;
 
 /**
  * Where operators call: HTTP/1.1, one call to a connection, 2xx for yes and 4xx or 5xx for no. It
- * runs on the node's loop, so that each call sees the node as it is; nothing here waits. A caller
- * has {@link #CALL_TIMEOUT} to bring its whole call, and at most {@code most} callers are held at a
- * time, the oldest giving way, so that silent ones cost nobody else.
+ * runs on the event loop; what the calls do is in {@link OperatorCalls}. A caller has {@link
+ * #CALL_TIMEOUT} to bring its whole call, and at most {@code most} callers are held at a time, the
+ * oldest giving way, so that silent ones cost nobody else.
  */
 public final class Admin {
   /** How long a caller may take to bring a whole call, ms; callers wait 1 s for the answer. */
   static final double CALL_TIMEOUT = 1000;
 
-  /**
-   * How long a change of maintenance waits to be stored before its caller is notified that it is
-   * not yet, ms. A caller waits 1 s, and the node may be held up for 150 ms in between.
-   */
-  public static final double STORE_TIMEOUT = 700;
-
   /** Between the close of the listener and the end of the process, ms. */
   private static final long CLOSE_DELAY = 1;
 
   /** The largest body of a call, in bytes: a relayed callback is as large as any. */
   static final int MAX_CALL_BYTES = HttpFrontend.MAX_BODY;
 
-  private final RequestCoordinator node;
-  private final HttpFrontend front;
-  private final UpgradePeers upgradePeers;
-  private final List<String> classes;
-  private final OperatorState state;
+  private final OperatorCalls calls;
   private final Timers timers;
-  private final RateLimitedLog log;
   private final int most;
-  private final LoopMonitor loopMonitor;
-  private final IntSupplier reloadsOk;
-  private final IntSupplier reloadsFailed;
   private final Set<Channel> callers = new LinkedHashSet<>();
 
   /** The callers whose connections are open. */
@@ -79,34 +50,17 @@
   /** What runs once no call is open; null if nothing waits for that. */
   private Runnable whenAnswered;
 
-  /**
-   * What the operators' calls act on; {@code state} is null where nothing is to outlive the
-   * process, {@code upgradePeers} where it has no others beside it.
-   */
-  public record Parts(
-      RequestCoordinator node,
-      HttpFrontend front,
-      UpgradePeers upgradePeers,
-      List<String> classes,
-      OperatorState state,
-      LoopMonitor loopMonitor,
-      IntSupplier reloadsOk,
-      IntSupplier reloadsFailed) {}
-
-  public Admin(Parts parts, Timers timers, RateLimitedLog log, int most) {
-    this.node = parts.node();
-    this.front = parts.front();
-    this.upgradePeers = parts.upgradePeers();
-    this.classes = parts.classes();
-    this.state = parts.state();
-    this.loopMonitor = parts.loopMonitor();
-    this.reloadsOk = parts.reloadsOk();
-    this.reloadsFailed = parts.reloadsFailed();
+  public Admin(OperatorCalls calls, Timers timers, int most) {
+    this.calls = calls;
     this.timers = timers;
-    this.log = log;
     this.most = most;
   }
 
+  /** What the calls do. */
+  OperatorCalls calls() {
+    return calls;
+  }
+
   /** Begins to listen at {@code address}. */
   public ChannelFuture listen(
       EventLoopGroup group, InetSocketAddress address, ChannelProvider channels) {
@@ -202,166 +156,4 @@
       whenAnswered(task);
     }
   }
-
-  // ---- The calls ----
-
-  boolean ready() {
-    refresh();
-    return node.ready() && !front.draining() && (state == null || state.complete());
-  }
-
-  /** Each call sees what other processes of the node were told before it. */
-  private void refresh() {
-    if (state != null) {
-      state.refresh();
-    }
-  }
-
-  /**
-   * A callback that the other process of this node got for a job of this one. True if this process
-   * has or had the job, and so accepted it.
-   */
-  boolean callback(String body) throws BadRequestException {
-    WorkerCallback callback = WorkerCallbackParser.read(body);
-    if (!node.knowsOf(callback.id())) {
-      return false;
-    }
-    node.callback(callback);
-    return true;
-  }
-
-  /**
-   * Another process of this node announces where it takes calls; false where this one has its own
-   * socket.
-   */
-  boolean announced(String address) {
-    if (upgradePeers == null) {
-      return false;
-    }
-    upgradePeers.at(EndpointListParser.address(address.trim()));
-    return true;
-  }
-
-  /**
-   * Another process of this node sends a record that it has appended, or could not append, to the
-   * log of both; false where this one keeps no state.
-   */
-  boolean recordReceived(String text) {
-    if (state == null) {
-      return false;
-    }
-    state.received(text);
-    return true;
-  }
-
-  void drain() {
-    log.line("drained by operators");
-    decided(true);
-  }
-
-  private void decided(boolean drained) {
-    if (state != null) {
-      state.refresh();
-      state.drain(drained);
-    } else if (drained) {
-      front.drainForOperators();
-    } else {
-      front.resume();
-    }
-  }
-
-  void resume() {
-    log.line("taking clients again");
-    decided(false);
-  }
-
-  /** What became of a call that takes a worker out or back. */
-  enum MaintenanceOutcome {
-    /** Nobody has that name; nothing has changed. */
-    UNKNOWN_WORKER,
-    /** The change holds, and outlives this process. */
-    STORED,
-    /**
-     * The change holds in this process, but could not be stored in time; attempts to store it go
-     * on.
-     */
-    NOT_STORED_YET
-  }
-
-  /**
-   * Takes a worker out, or back; {@code answer} gets the outcome after {@link #STORE_TIMEOUT} at
-   * most. A change that is stored later is reported then; only the first outcome counts.
-   */
-  void maintain(String worker, boolean out, Consumer<MaintenanceOutcome> answer) {
-    refresh();
-    boolean known = out ? node.startMaintenance(worker) : node.endMaintenance(worker);
-    if (!known) {
-      answer.accept(MaintenanceOutcome.UNKNOWN_WORKER);
-      return;
-    }
-    log.line(
-        "menu worker " + worker + (out ? " taken out by operators" : " taken back by operators"));
-    if (state == null) {
-      answer.accept(MaintenanceOutcome.STORED);
-      return;
-    }
-    Timers.Timer timeout =
-        timers.after(STORE_TIMEOUT, () -> answer.accept(MaintenanceOutcome.NOT_STORED_YET));
-    state.storeMaintenance(
-        worker,
-        () -> {
-          timeout.cancel();
-          answer.accept(MaintenanceOutcome.STORED);
-        });
-  }
-
-  /** The metrics in the operators' form, a {@code name=value} a line. */
-  String metrics() {
-    refresh();
-    NodeMetrics.Snapshot now = node.metrics();
-    StringBuilder text = new StringBuilder(256);
-    for (int i = 0; i < classes.size(); i++) {
-      line(text, "served." + classes.get(i), count(now.served(), i));
-      line(text, "refused." + classes.get(i), count(now.refused(), i));
-      line(text, "failed." + classes.get(i), count(now.failed(), i));
-    }
-    line(text, "attempts", now.attempts());
-    line(text, "in_flight", now.inFlight());
-    line(text, "menu_workers_known", now.known());
-    line(text, "menu_workers_excluded", now.excluded());
-    line(text, "reloads_ok", reloadsOk.getAsInt());
-    line(text, "reloads_failed", reloadsFailed.getAsInt());
-    line(text, "retries", now.retries());
-    line(text, "abandoned", now.abandoned());
-    lines(text, "withheld.", WithheldReason.values(), now.withheld());
-    lines(text, "rejected.", RejectionReason.values(), now.rejected());
-    lines(text, "rejected_for.", RejectionCause.values(), now.rejectedFor());
-    durations(text, "loop_turn", loopMonitor.turns());
-    durations(text, "timer_delay", loopMonitor.timerDelays());
-    if (upgradePeers != null) {
-      lines(text, "relayed.", UpgradePeers.RelayOutcome.values(), upgradePeers.relayed());
-    }
-    return text.toString();
-  }
-
-  /** A line for each reason, also for those that have not occurred. */
-  private static <R extends Enum<R>> void lines(
-      StringBuilder text, String prefix, R[] reasons, Map<R, Long> counts) {
-    for (R reason : reasons) {
-      line(text, prefix + reason.name().toLowerCase(Locale.ROOT), counts.getOrDefault(reason, 0L));
-    }
-  }
-
-  private static void durations(StringBuilder text, String name, DurationBuckets durations) {
-    durations.forEach((bound, count) -> line(text, name + ".le_" + bound, count));
-    line(text, name + ".max_ms", Math.round(durations.max()));
-  }
-
-  private static long count(long[] counts, int jobClass) {
-    return jobClass < counts.length ? counts[jobClass] : 0;
-  }
-
-  private static void line(StringBuilder text, String name, long value) {
-    text.append(name).append('=').append(value).append('\n');
-  }
 }
--- a/node/src/main/java/ferngrade/http/AdminHandler.java
+++ b/node/src/main/java/ferngrade/http/AdminHandler.java
@@ -21,6 +21,7 @@
   private static final String WORKERS = "/-/menu-workers/";
 
   private final Admin admin;
+  private final OperatorCalls calls;
   private boolean answered;
 
   /**
@@ -30,6 +31,7 @@
 
   AdminHandler(Admin admin) {
     this.admin = admin;
+    this.calls = admin.calls();
   }
 
   @Override
@@ -58,7 +60,7 @@
     switch (path) {
       case "/-/ready" -> {
         if (expect(ctx, method, HttpMethod.GET)) {
-          boolean ready = admin.ready();
+          boolean ready = calls.ready();
           answer(
               ctx,
               ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
@@ -67,18 +69,18 @@
       }
       case "/-/metrics" -> {
         if (expect(ctx, method, HttpMethod.GET)) {
-          answer(ctx, HttpResponseStatus.OK, admin.metrics());
+          answer(ctx, HttpResponseStatus.OK, calls.metrics());
         }
       }
       case "/-/drain" -> {
         if (expect(ctx, method, HttpMethod.POST)) {
-          admin.drain();
+          calls.drain();
           answer(ctx, HttpResponseStatus.OK, "draining\n");
         }
       }
       case "/-/resume" -> {
         if (expect(ctx, method, HttpMethod.POST)) {
-          admin.resume();
+          calls.resume();
           answer(ctx, HttpResponseStatus.OK, "taking clients\n");
         }
       }
@@ -99,9 +101,9 @@
     try {
       boolean taken =
           switch (path) {
-            case "/-/news" -> admin.callback(body);
-            case "/-/sibling" -> admin.announced(body);
-            default -> admin.recordReceived(body);
+            case "/-/news" -> calls.callback(body);
+            case "/-/sibling" -> calls.announced(body);
+            default -> calls.recordReceived(body);
           };
       answer(ctx, taken ? HttpResponseStatus.NO_CONTENT : HttpResponseStatus.NOT_FOUND, "");
     } catch (BadRequestException | IllegalArgumentException bad) {
@@ -124,7 +126,7 @@
     String worker = QueryStringDecoder.decodeComponent(path.substring(WORKERS.length(), slash));
     maintenancePending = true;
     String change = (out ? "taken out: " : "taken back: ") + worker;
-    admin.maintain(
+    calls.maintain(
         worker,
         out,
         outcome -> {
--- /dev/null
+++ b/node/src/main/java/ferngrade/http/MetricsPage.java
@@ -0,0 +1,81 @@
+package ferngrade.http;
+
+import ferngrade.dispatch.RejectionCause;
+import ferngrade.node.DurationBuckets;
+import ferngrade.node.LoopMonitor;
+import ferngrade.node.NodeMetrics;
+import ferngrade.node.RejectionReason;
+import ferngrade.node.RequestCoordinator;
+import ferngrade.node.WithheldReason;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.IntSupplier;
+
+/** The node's metrics as operators read them, in plain text. Belongs to the event loop. */
+final class MetricsPage {
+  private final RequestCoordinator node;
+  private final UpgradePeers upgradePeers;
+  private final List<String> classes;
+  private final LoopMonitor loopMonitor;
+  private final IntSupplier reloadsOk;
+  private final IntSupplier reloadsFailed;
+
+  MetricsPage(OperatorCalls.Parts parts) {
+    this.node = parts.node();
+    this.upgradePeers = parts.upgradePeers();
+    this.classes = parts.classes();
+    this.loopMonitor = parts.loopMonitor();
+    this.reloadsOk = parts.reloadsOk();
+    this.reloadsFailed = parts.reloadsFailed();
+  }
+
+  /** The metrics as of now, a {@code name=value} a line. */
+  String text() {
+    NodeMetrics.Snapshot now = node.metrics();
+    StringBuilder text = new StringBuilder(256);
+    for (int i = 0; i < classes.size(); i++) {
+      line(text, "served." + classes.get(i), count(now.served(), i));
+      line(text, "refused." + classes.get(i), count(now.refused(), i));
+      line(text, "failed." + classes.get(i), count(now.failed(), i));
+    }
+    line(text, "attempts", now.attempts());
+    line(text, "in_flight", now.inFlight());
+    line(text, "menu_workers_known", now.known());
+    line(text, "menu_workers_excluded", now.excluded());
+    line(text, "reloads_ok", reloadsOk.getAsInt());
+    line(text, "reloads_failed", reloadsFailed.getAsInt());
+    line(text, "retries", now.retries());
+    line(text, "abandoned", now.abandoned());
+    lines(text, "withheld.", WithheldReason.values(), now.withheld());
+    lines(text, "rejected.", RejectionReason.values(), now.rejected());
+    lines(text, "rejected_for.", RejectionCause.values(), now.rejectedFor());
+    durations(text, "loop_turn", loopMonitor.turns());
+    durations(text, "timer_delay", loopMonitor.timerDelays());
+    if (upgradePeers != null) {
+      lines(text, "relayed.", UpgradePeers.RelayOutcome.values(), upgradePeers.relayed());
+    }
+    return text.toString();
+  }
+
+  /** A line for each reason, also for those that have not occurred. */
+  private static <R extends Enum<R>> void lines(
+      StringBuilder text, String prefix, R[] reasons, Map<R, Long> counts) {
+    for (R reason : reasons) {
+      line(text, prefix + reason.name().toLowerCase(Locale.ROOT), counts.getOrDefault(reason, 0L));
+    }
+  }
+
+  private static void durations(StringBuilder text, String name, DurationBuckets durations) {
+    durations.forEach((bound, count) -> line(text, name + ".le_" + bound, count));
+    line(text, name + ".max_ms", Math.round(durations.max()));
+  }
+
+  private static long count(long[] counts, int jobClass) {
+    return jobClass < counts.length ? counts[jobClass] : 0;
+  }
+
+  private static void line(StringBuilder text, String name, long value) {
+    text.append(name).append('=').append(value).append('\n');
+  }
+}
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -8,10 +8,10 @@
 import ferngrade.dispatch.EndpointListUpdate;
 import ferngrade.dispatch.JobClass;
 import ferngrade.dispatch.ThrottlingDispatcher;
-import ferngrade.http.Admin;
 import ferngrade.http.ArrivalClock;
 import ferngrade.http.ConnectionPool;
 import ferngrade.http.HttpFrontend;
+import ferngrade.http.OperatorCalls;
 import ferngrade.http.RequestReader;
 import ferngrade.http.ShutdownBudget;
 import ferngrade.http.UpgradePeers;
@@ -382,8 +382,8 @@
   /** Where operators call; {@code folder} is null if no state is kept. */
   private OperatorsEndpoint operatorsEndpoint(StateFolder folder) {
     List<String> classes = config.settings().classes().stream().map(JobClass::name).toList();
-    Admin.Parts parts =
-        new Admin.Parts(
+    OperatorCalls.Parts parts =
+        new OperatorCalls.Parts(
             coordinator,
             front,
             upgradePeers,
--- a/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
+++ b/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
@@ -1,6 +1,7 @@
 package ferngrade.server;
 
 import ferngrade.http.Admin;
+import ferngrade.http.OperatorCalls;
 import ferngrade.node.Clock;
 import ferngrade.node.RateLimitedLog;
 import ferngrade.node.Timers;
@@ -26,7 +27,7 @@
    */
   private static final double MAX_LAST_STORE = 45;
 
-  private final Admin.Parts parts;
+  private final OperatorCalls.Parts parts;
 
   /** Null where nothing is shared with other processes. */
   private final SharedState sharedState;
@@ -40,7 +41,7 @@
   private Channel channel;
 
   OperatorsEndpoint(
-      Admin.Parts parts,
+      OperatorCalls.Parts parts,
       SharedState sharedState,
       StateFolder folder,
       Clock clock,
@@ -51,7 +52,7 @@
     this.folder = folder;
     this.clock = clock;
     this.timers = timers;
-    this.admin = new Admin(parts, timers, log, MAX_OPERATORS);
+    this.admin = new Admin(new OperatorCalls(parts, timers, log), timers, MAX_OPERATORS);
   }
 
   /** Begins to listen at {@code at}. */
--- a/node/src/test/java/ferngrade/server/AdminIntegrationTest.java
+++ b/node/src/test/java/ferngrade/server/AdminIntegrationTest.java
@@ -7,7 +7,7 @@
 import com.eclipsesource.json.Json;
 import ferngrade.config.NodeConfig;
 import ferngrade.golden.GoldenFile;
-import ferngrade.http.Admin;
+import ferngrade.http.OperatorCalls;
 import ferngrade.http.RawBytes;
 import ferngrade.http.RawHttp;
 import ferngrade.http.RawHttp.Message;
@@ -248,7 +248,7 @@
   @Test
   public void yesComesOnlyOnceTheFolderIsSyncedAndWithinTheSecondThatACallerWaitsANo()
       throws Exception {
-    assertTrue(Admin.STORE_TIMEOUT + 150 < 1000, "with a node that is held up meanwhile");
+    assertTrue(OperatorCalls.STORE_TIMEOUT + 150 < 1000, "with a node that is held up meanwhile");
     FaultInjectingFileOperations files = new FaultInjectingFileOperations();
     NodeServer node = start(new NodeServer.Platform(null, Path.of("/state"), files));
     files.fail(Operation.SYNC_FOLDER, FaultInjectingFileOperations.error("Input/output error"));
