--- a/node/src/main/java/ferngrade/http/Admin.java
+++ b/node/src/main/java/ferngrade/http/Admin.java
@@ -1,5 +1,7 @@
 package ferngrade.http;
 
+import ferngrade.http.ForcedCloses.Reason;
+import ferngrade.node.Clock;
 import ferngrade.node.Timers;
 import ferngrade.transport.ChannelProvider;
 import ferngrade.transport.ChannelProvider.Purpose;
@@ -11,8 +13,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -37,6 +37,7 @@
   static final int MAX_CALL_BYTES = HttpFrontend.MAX_BODY;
 
   private final OperatorCalls calls;
+  private final Clock clock;
   private final Timers timers;
   private final int most;
   private final Set<Channel> callers = new LinkedHashSet<>();
@@ -50,8 +51,9 @@
   /** What runs once no call is open; null if nothing waits for that. */
   private Runnable whenAnswered;
 
-  public Admin(OperatorCalls calls, Timers timers, int most) {
+  public Admin(OperatorCalls calls, Clock clock, Timers timers, int most) {
     this.calls = calls;
+    this.clock = clock;
     this.timers = timers;
     this.most = most;
   }
@@ -74,12 +76,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    channel
-                        .pipeline()
-                        .addLast(
-                            new HttpServerCodec(),
-                            new HttpObjectAggregator(MAX_CALL_BYTES),
-                            new AdminHandler(Admin.this));
+                    new AdminHandler(Admin.this, clock).addTo(channel.pipeline());
                   }
                 })
             .bind(address);
@@ -137,9 +134,16 @@
     if (callers.size() > most) {
       Channel oldest = callers.iterator().next();
       callers.remove(oldest);
-      oldest.close();
+      close(oldest, Reason.AWAITED_LIMIT, most);
+    }
+    timers.after(CALL_TIMEOUT, () -> close(caller, Reason.TIMEOUT, CALL_TIMEOUT));
+  }
+
+  private void close(Channel caller, Reason reason, double limit) {
+    if (open.contains(caller)) {
+      calls.closes().record(reason, limit, caller.pipeline().get(AdminHandler.class).asClosed());
+      caller.close();
     }
-    timers.after(CALL_TIMEOUT, caller::close);
   }
 
   /** A caller has brought its whole call: it gets its answer, however many others come. */
--- a/node/src/main/java/ferngrade/http/AdminHandler.java
+++ b/node/src/main/java/ferngrade/http/AdminHandler.java
@@ -1,8 +1,13 @@
 package ferngrade.http;
 
+import ferngrade.node.Clock;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -10,7 +15,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -22,18 +29,46 @@
 
   private final Admin admin;
   private final OperatorCalls calls;
+  private final Clock clock;
+  private final double acceptedAt;
   private boolean answered;
+  private long bytesRead;
 
   /**
    * A call that takes a worker out or back waits for its outcome; what comes behind it is not read.
    */
   private boolean maintenancePending;
 
-  AdminHandler(Admin admin) {
+  AdminHandler(Admin admin, Clock clock) {
+    this.clock = clock;
+    this.acceptedAt = clock.now();
     this.admin = admin;
     this.calls = admin.calls();
   }
 
+  /** Puts the connection's codec and this handler at the end of a pipeline. */
+  void addTo(ChannelPipeline pipeline) {
+    pipeline.addLast(
+        byteCounter(), new HttpServerCodec(), new HttpObjectAggregator(Admin.MAX_CALL_BYTES), this);
+  }
+
+  private ChannelInboundHandler byteCounter() {
+    return new ChannelInboundHandlerAdapter() {
+      @Override
+      public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+        bytesRead += ((ByteBuf) bytes).readableBytes();
+        ctx.fireChannelRead(bytes);
+      }
+    };
+  }
+
+  /** What is told of the connection when the node closes it unasked. */
+  ForcedCloses.Closed asClosed() {
+    ConnectionState state =
+        answered || maintenancePending ? ConnectionState.BUSY : ConnectionState.RESTING;
+    return new ForcedCloses.Closed(state, false, bytesRead, clock.now() - acceptedAt);
+  }
+
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
     admin.opened(ctx.channel());
--- a/node/src/main/java/ferngrade/http/ClientConnectionHandler.java
+++ b/node/src/main/java/ferngrade/http/ClientConnectionHandler.java
@@ -381,6 +381,11 @@
     context.channel().config().setAutoRead(true);
   }
 
+  /** What is told of the connection when the node closes it unasked, at {@code now}. */
+  ForcedCloses.Closed asClosed(double now) {
+    return new ForcedCloses.Closed(state, trusted, bytesRead, now - acceptedSince);
+  }
+
   /** What the connection is doing. */
   ConnectionState state() {
     return state;
--- a/node/src/main/java/ferngrade/http/ClientConnections.java
+++ b/node/src/main/java/ferngrade/http/ClientConnections.java
@@ -1,6 +1,6 @@
 package ferngrade.http;
 
-import ferngrade.http.AcceptSwitch.Reason;
+import ferngrade.http.ForcedCloses.Reason;
 import ferngrade.node.Clock;
 import ferngrade.node.Timers;
 import ferngrade.transport.PendingReads;
@@ -30,6 +30,7 @@
   private final Clock clock;
   private final Timers timers;
   private final AcceptSwitch acceptSwitch;
+  private final ForcedCloses closes;
   private final Set<ClientConnectionHandler> open = new LinkedHashSet<>();
   private final Set<ClientConnectionHandler> idle = new LinkedHashSet<>();
 
@@ -39,11 +40,16 @@
   private long accepted;
 
   ClientConnections(
-      ConnectionLimits limits, Clock clock, Timers timers, AcceptSwitch acceptSwitch) {
+      ConnectionLimits limits,
+      Clock clock,
+      Timers timers,
+      AcceptSwitch acceptSwitch,
+      ForcedCloses closes) {
     this.limits = limits;
     this.clock = clock;
     this.timers = timers;
     this.acceptSwitch = acceptSwitch;
+    this.closes = closes;
   }
 
   /** Begins to check timeouts; it goes on from there by itself. */
@@ -75,9 +81,9 @@
               idle.stream())
           .limit(excess)
           .toList()
-          .forEach(this::evict);
+          .forEach(each -> evict(each, Reason.CONNECTION_LIMIT, limits.clients()));
     }
-    acceptSwitch.pause(Reason.FULL, open.size() >= limits.clients());
+    acceptSwitch.pause(AcceptSwitch.Reason.FULL, open.size() >= limits.clients());
   }
 
   /** How many connections have been accepted so far. */
@@ -146,7 +152,7 @@
       awaited.keySet().stream()
           .filter(each -> !each.trusted() && !each.closing())
           .findFirst()
-          .ifPresent(this::evict);
+          .ifPresent(each -> evict(each, Reason.AWAITED_LIMIT, limits.awaited()));
     }
   }
 
@@ -158,12 +164,13 @@
               awaited.keySet().stream())
           .flatMap(each -> each)
           .findFirst()
-          .ifPresent(this::evict);
+          .ifPresent(each -> evict(each, Reason.CONNECTION_LIMIT, limits.clients()));
     }
-    acceptSwitch.pause(Reason.FULL, open.size() >= limits.clients());
+    acceptSwitch.pause(AcceptSwitch.Reason.FULL, open.size() >= limits.clients());
   }
 
-  private void evict(ClientConnectionHandler connection) {
+  private void evict(ClientConnectionHandler connection, Reason reason, double limit) {
+    closes.record(reason, limit, connection.asClosed(clock.now()));
     idle.remove(connection);
     awaited.remove(connection);
     connection.evict();
@@ -178,7 +185,10 @@
       }
       late.add(each.getKey());
     }
-    late.forEach(ClientConnectionHandler::timedOut);
+    for (ClientConnectionHandler each : late) {
+      closes.record(Reason.TIMEOUT, INPUT_TIMEOUT, each.asClosed(clock.now()));
+      each.timedOut();
+    }
     timers.after(SWEEP_INTERVAL, this::sweep);
   }
 }
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -41,6 +41,7 @@
   private final AcceptSwitch acceptSwitch;
   private final ClientConnections connections;
   private final FrontendShutdown shutdown;
+  private final ForcedCloses closes;
   private Channel listener;
   private boolean inherited;
   private boolean drainedByOperators;
@@ -55,7 +56,9 @@
       ArrivalClock arrivals,
       Timers timers,
       UpgradePeers upgradePeers,
-      ChannelProvider channels) {
+      ChannelProvider channels,
+      ForcedCloses closes) {
+    this.closes = closes;
     this.limits = limits;
     this.upgradePeers = upgradePeers;
     this.channels = channels;
@@ -63,7 +66,7 @@
     this.arrivals = arrivals;
     this.acceptTimes = new AcceptTimeEstimator(arrivals);
     this.acceptSwitch = new AcceptSwitch(timers);
-    this.connections = new ClientConnections(limits, clock, timers, acceptSwitch);
+    this.connections = new ClientConnections(limits, clock, timers, acceptSwitch, closes);
     this.shutdown =
         new FrontendShutdown(connections, () -> jobsInFlight, this::stopListening, clock, timers);
   }
@@ -206,6 +209,11 @@
     return counts;
   }
 
+  /** The connections that the frontend has closed unasked. */
+  ForcedCloses closes() {
+    return closes;
+  }
+
   /** The open connections of this frontend. */
   ClientConnections connections() {
     return connections;
--- a/node/src/main/java/ferngrade/http/MetricsPage.java
+++ b/node/src/main/java/ferngrade/http/MetricsPage.java
@@ -15,6 +15,8 @@
 /** The node's metrics as operators read them, in plain text. Belongs to the event loop. */
 final class MetricsPage {
   private final RequestCoordinator node;
+  private final HttpFrontend front;
+  private final ForcedCloses operatorCloses;
   private final UpgradePeers upgradePeers;
   private final List<String> classes;
   private final LoopMonitor loopMonitor;
@@ -23,6 +25,8 @@
 
   MetricsPage(OperatorCalls.Parts parts) {
     this.node = parts.node();
+    this.front = parts.front();
+    this.operatorCloses = parts.operatorCloses();
     this.upgradePeers = parts.upgradePeers();
     this.classes = parts.classes();
     this.loopMonitor = parts.loopMonitor();
@@ -52,6 +56,8 @@
     lines(text, "rejected_for.", RejectionCause.values(), now.rejectedFor());
     durations(text, "loop_turn", loopMonitor.turns());
     durations(text, "timer_delay", loopMonitor.timerDelays());
+    lines(text, "closed_clients.", ForcedCloses.Reason.values(), front.closes().counts());
+    lines(text, "closed_operators.", ForcedCloses.Reason.values(), operatorCloses.counts());
     if (upgradePeers != null) {
       lines(text, "relayed.", UpgradePeers.RelayOutcome.values(), upgradePeers.relayed());
     }
--- a/node/src/main/java/ferngrade/http/OperatorCalls.java
+++ b/node/src/main/java/ferngrade/http/OperatorCalls.java
@@ -29,6 +29,7 @@
   private final Timers timers;
   private final RateLimitedLog log;
   private final MetricsPage metrics;
+  private final ForcedCloses closes;
 
   /**
    * What the operators' calls act on; {@code state} is null where nothing is to outlive the
@@ -41,14 +42,21 @@
       List<String> classes,
       OperatorState state,
       LoopMonitor loopMonitor,
+      ForcedCloses operatorCloses,
       IntSupplier reloadsOk,
       IntSupplier reloadsFailed) {}
 
+  /** The operators' connections that the node has closed unasked. */
+  ForcedCloses closes() {
+    return closes;
+  }
+
   public OperatorCalls(Parts parts, Timers timers, RateLimitedLog log) {
     this.node = parts.node();
     this.front = parts.front();
     this.upgradePeers = parts.upgradePeers();
     this.state = parts.state();
+    this.closes = parts.operatorCloses();
     this.metrics = new MetricsPage(parts);
     this.timers = timers;
     this.log = log;
--- a/node/src/main/java/ferngrade/node/LoopMonitor.java
+++ b/node/src/main/java/ferngrade/node/LoopMonitor.java
@@ -21,6 +21,11 @@
   private final RateLimitedLog log;
   private final DurationBuckets turns = new DurationBuckets();
   private final DurationBuckets timerDelays = new DurationBuckets();
+
+  /** The longest turn or delay since the last sample, and between the two before it, ms. */
+  private double longest;
+
+  private double longestBefore;
   private SchedulerStats sample = SchedulerStats.UNKNOWN;
   private double sampledAt = Double.NEGATIVE_INFINITY;
 
@@ -43,6 +48,11 @@
     return timerDelays;
   }
 
+  /** The longest turn, or delay of a timer, within the last second or two, ms. */
+  public double longestLately() {
+    return Math.max(longest, longestBefore);
+  }
+
   /** A turn of the loop has ended, which worked for so many ms. */
   public void turnEnded(double millis) {
     turns.add(millis);
@@ -57,6 +67,7 @@
 
   private void observe(String what, double millis) {
     double now = clock.now();
+    longest = Math.max(longest, millis);
     if (sampledAt == Double.NEGATIVE_INFINITY) {
       takeSample(SchedulerStats.read(), now);
     } else if (millis > REPORTED) {
@@ -86,6 +97,8 @@
   private void takeSample(SchedulerStats present, double now) {
     sample = present;
     sampledAt = now;
+    longestBefore = longest;
+    longest = 0;
     if (canary.get() == null) {
       canary = new WeakReference<>(new Object());
     }
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -10,6 +10,7 @@
 import ferngrade.dispatch.ThrottlingDispatcher;
 import ferngrade.http.ArrivalClock;
 import ferngrade.http.ConnectionPool;
+import ferngrade.http.ForcedCloses;
 import ferngrade.http.HttpFrontend;
 import ferngrade.http.OperatorCalls;
 import ferngrade.http.RequestReader;
@@ -170,7 +171,14 @@
         platform.accepted() == null ? null : new UpgradePeers(group, timers, log, channels);
     this.processLimits = new ProcessLimits(config, log);
     this.front =
-        new HttpFrontend(processLimits.limits(1), clock, arrivals, timers, upgradePeers, channels);
+        new HttpFrontend(
+            processLimits.limits(1),
+            clock,
+            arrivals,
+            timers,
+            upgradePeers,
+            channels,
+            new ForcedCloses("clients", loopMonitor, log));
   }
 
   /** Makes the dispatcher of a node, which acts through the given actions. */
@@ -390,6 +398,7 @@
             classes,
             sharedState,
             loopMonitor,
+            new ForcedCloses("operators", loopMonitor, log),
             () -> reloadsOk,
             () -> reloadsFailed);
     return new OperatorsEndpoint(parts, sharedState, folder, clock, timers, log);
--- a/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
+++ b/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
@@ -52,7 +52,7 @@
     this.folder = folder;
     this.clock = clock;
     this.timers = timers;
-    this.admin = new Admin(new OperatorCalls(parts, timers, log), timers, MAX_OPERATORS);
+    this.admin = new Admin(new OperatorCalls(parts, timers, log), clock, timers, MAX_OPERATORS);
   }
 
   /** Begins to listen at {@code at}. */
