Read connections before they give way, by one rule for clients and operators

Cause: a place was taken from a connection at its accept. One read of the listener accepts up to 16; each counted at once against the awaited limit (6, 9, 17 at 64, 85, 128 descriptors; 8 for operators), and the oldest was closed without a look at its socket. A held-up loop makes the batch.

Change: ConnectionTable owns the connections of clients and of operators and the rule who gives way. A connection is UNREAD until it has been read; what is to give way or to time out is read first, in the same task. A listener accepts no more than there are places; the rest waits in the backlog, and the estimate of how long it waited knows of such pauses. An operators' call that was read is no longer cut off by its caller's second. A process of this node may ask for its connection to be kept. ClientConnectionHandler (447 lines) is parted into reading and the connection itself.

--- a/node/src/main/java/ferngrade/http/AcceptSwitch.java
+++ b/node/src/main/java/ferngrade/http/AcceptSwitch.java
@@ -1,16 +1,19 @@
 package ferngrade.http;
 
 import ferngrade.node.Timers;
+import ferngrade.transport.PendingReads;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.MaxMessagesRecvByteBufAllocator;
 import java.util.EnumSet;
 import java.util.Set;
 
 /**
- * The one owner of whether a listening channel accepts: it does unless there is a reason to pause.
- * A failed accept is one, for a moment; it stops here, so that Netty's own answer, a second's pause
- * that ends all others, is not given.
+ * The one owner of whether a listening channel accepts, and how many connections at a time: it
+ * accepts while there are places, unless there is another reason to pause. What it does not accept
+ * waits in the backlog. A failed accept is one, for a moment; it stops here, so that Netty's own
+ * answer, a second's pause that ends all others, is not given.
  */
 final class AcceptSwitch extends ChannelInboundHandlerAdapter {
   /**
@@ -20,6 +23,10 @@
   static final double BACKOFF = 20;
 
   private final Timers timers;
+
+  private final Listener pauses;
+
+  private int places = PendingReads.MAX_ACCEPTS;
   private final Set<Reason> reasons = EnumSet.noneOf(Reason.class);
   private Channel listener;
 
@@ -35,8 +42,40 @@
     ACCEPT_FAILED
   }
 
-  AcceptSwitch(Timers timers) {
+  /** Is notified of pauses that leave connections waiting, with nobody else to accept them. */
+  interface Listener {
+    /** Is not interested. */
+    Listener NONE =
+        new Listener() {
+          @Override
+          public void paused() {}
+
+          @Override
+          public void resumed() {}
+        };
+
+    /** Connections that come from now on have to wait. */
+    void paused();
+
+    /** Those that have waited are accepted from now on. */
+    void resumed();
+  }
+
+  AcceptSwitch(Timers timers, Listener pauses) {
     this.timers = timers;
+    this.pauses = pauses;
+  }
+
+  /** Sets how many more connections there may be; with none left it pauses. */
+  void places(int free) {
+    places = Math.max(1, Math.min(free, PendingReads.MAX_ACCEPTS));
+    limitAccepts();
+    pause(Reason.FULL, free <= 0);
+  }
+
+  /** How many connections one read of the listener accepts at most. */
+  int acceptsAtOnce() {
+    return places;
   }
 
   /** Sets or clears one reason to pause. */
@@ -44,6 +83,25 @@
     boolean changed = holds ? reasons.add(reason) : reasons.remove(reason);
     if (changed) {
       apply();
+      if (reason == Reason.FULL || reason == Reason.ACCEPT_FAILED) {
+        notifyPauses();
+      }
+    }
+  }
+
+  private void notifyPauses() {
+    if (reasons.contains(Reason.FULL) || reasons.contains(Reason.ACCEPT_FAILED)) {
+      pauses.paused();
+    } else {
+      pauses.resumed();
+    }
+  }
+
+  private void limitAccepts() {
+    if (listener != null
+        && listener.config().getRecvByteBufAllocator()
+            instanceof MaxMessagesRecvByteBufAllocator allocator) {
+      allocator.maxMessagesPerRead(places);
     }
   }
 
@@ -56,6 +114,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     listener = ctx.channel();
+    limitAccepts();
     apply();
   }
 
--- a/node/src/main/java/ferngrade/http/Admin.java
+++ b/node/src/main/java/ferngrade/http/Admin.java
@@ -1,6 +1,5 @@
 package ferngrade.http;
 
-import ferngrade.http.ForcedCloses.Reason;
 import ferngrade.node.Clock;
 import ferngrade.node.Timers;
 import ferngrade.transport.ChannelProvider;
@@ -14,17 +13,16 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.AbstractNioChannel;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
  * Where operators call: HTTP/1.1, one call to a connection, 2xx for yes and 4xx or 5xx for no. It
  * runs on the event loop; what the calls do is in {@link OperatorCalls}. A caller has {@link
- * #CALL_TIMEOUT} to bring its whole call, and at most {@code most} callers are held at a time, the
- * oldest giving way, so that silent ones cost nobody else.
+ * #CALL_TIMEOUT} to bring its whole call, and a few callers are held at a time, those that say
+ * nothing giving way, so that silent ones cost nobody else. The node's other processes call here,
+ * too, and may keep their connections.
  */
 public final class Admin {
   /** How long a caller may take to bring a whole call, ms; callers wait 1 s for the answer. */
@@ -36,26 +34,38 @@
   /** The largest body of a call, in bytes: a relayed callback is as large as any. */
   static final int MAX_CALL_BYTES = HttpFrontend.MAX_BODY;
 
-  private final OperatorCalls calls;
-  private final Clock clock;
-  private final Timers timers;
-  private final int most;
-  private final Set<Channel> callers = new LinkedHashSet<>();
+  /** Callers that may be silent at a time: the staff makes one call at a time. */
+  private static final int MAX_SILENT = 8;
 
-  /** The callers whose connections are open. */
-  private final Set<Channel> open = new HashSet<>();
+  /** Connections that may be open at a time, those of the node's other processes included. */
+  private static final int MAX_OPEN = MAX_SILENT + UpgradePeers.MAX_PEERS;
 
-  private long accepted;
+  private final OperatorCalls calls;
+  private final Clock clock;
+  private final AcceptSwitch acceptSwitch;
+  private final ConnectionTable<AdminHandler> connections;
   private Channel listener;
+  private boolean finishing;
 
   /** What runs once no call is open; null if nothing waits for that. */
   private Runnable whenAnswered;
 
-  public Admin(OperatorCalls calls, Clock clock, Timers timers, int most) {
+  /** The listener for {@code calls}; {@code loop} runs tasks at the end of the present turn. */
+  public Admin(OperatorCalls calls, Clock clock, Timers timers, Executor loop) {
     this.calls = calls;
     this.clock = clock;
-    this.timers = timers;
-    this.most = most;
+    this.acceptSwitch = new AcceptSwitch(timers, AcceptSwitch.Listener.NONE);
+    this.connections =
+        new ConnectionTable<>(
+            new ConnectionTable.Limits(MAX_OPEN, MAX_SILENT),
+            CALL_TIMEOUT,
+            acceptSwitch,
+            new ConnectionTable.Surroundings(clock, timers, loop, calls.closes()));
+  }
+
+  /** The time, ms on the clock. */
+  double now() {
+    return clock.now();
   }
 
   /** What the calls do. */
@@ -71,16 +81,17 @@
             .group(group)
             .channelFactory(() -> channels.listener(Purpose.ADMIN, null))
             .option(ChannelOption.SO_REUSEADDR, true)
-            .handler(new AcceptSwitch(timers))
+            .handler(acceptSwitch)
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    new AdminHandler(Admin.this, clock).addTo(channel.pipeline());
+                    new AdminHandler(Admin.this).addTo(channel.pipeline());
                   }
                 })
             .bind(address);
     listener = bound.channel();
+    connections.startSweeping();
     return bound;
   }
 
@@ -93,13 +104,20 @@
    * @param store runs a task once all that was answered is stored
    */
   public void finish(Consumer<Runnable> store, Runnable done) {
+    finishing = true;
     whenAnswered(() -> store.accept(() -> endUnlessCalled(store, done)));
   }
 
+  /** True once the process ends: each connection closes behind its answer. */
+  boolean finishing() {
+    return finishing;
+  }
+
   /** Runs a task once no call is open, counting those that wait to be accepted. */
   private void whenAnswered(Runnable task) {
     acceptWaiting();
-    if (open.isEmpty()) {
+    connections.idle().forEach(AdminHandler::closeAfterReading);
+    if (connections.isEmpty()) {
       task.run();
     } else {
       whenAnswered = task;
@@ -108,7 +126,7 @@
 
   private void endUnlessCalled(Consumer<Runnable> store, Runnable done) {
     acceptWaiting();
-    if (open.isEmpty()) {
+    if (connections.isEmpty()) {
       listener.close();
       // The system closes the listener with the next select; from then on callers are refused, also
       // while the runtime ends, which takes some ms.
@@ -120,41 +138,18 @@
 
   private void acceptWaiting() {
     PendingReads.acceptWaiting(
-        (AbstractNioChannel) listener, () -> accepted, () -> open.size() < most);
-  }
-
-  /**
-   * A caller has connected: it gets its time, and pushes out the oldest caller where there are too
-   * many.
-   */
-  void opened(Channel caller) {
-    accepted++;
-    open.add(caller);
-    callers.add(caller);
-    if (callers.size() > most) {
-      Channel oldest = callers.iterator().next();
-      callers.remove(oldest);
-      close(oldest, Reason.AWAITED_LIMIT, most);
-    }
-    timers.after(CALL_TIMEOUT, () -> close(caller, Reason.TIMEOUT, CALL_TIMEOUT));
-  }
-
-  private void close(Channel caller, Reason reason, double limit) {
-    if (open.contains(caller)) {
-      calls.closes().record(reason, limit, caller.pipeline().get(AdminHandler.class).asClosed());
-      caller.close();
-    }
+        (AbstractNioChannel) listener, connections::accepted, connections::hasPlace);
   }
 
-  /** A caller has brought its whole call: it gets its answer, however many others come. */
-  void received(Channel caller) {
-    callers.remove(caller);
+  /** The connections of callers. */
+  ConnectionTable<AdminHandler> connections() {
+    return connections;
   }
 
-  void closed(Channel caller) {
-    callers.remove(caller);
-    open.remove(caller);
-    if (whenAnswered != null && open.isEmpty()) {
+  /** A caller's connection has ended. */
+  void closed(AdminHandler caller) {
+    connections.closed(caller);
+    if (whenAnswered != null && connections.isEmpty()) {
       Runnable task = whenAnswered;
       whenAnswered = null;
       whenAnswered(task);
--- a/node/src/main/java/ferngrade/http/AdminHandler.java
+++ b/node/src/main/java/ferngrade/http/AdminHandler.java
@@ -1,14 +1,16 @@
 package ferngrade.http;
 
-import ferngrade.node.Clock;
+import ferngrade.transport.PendingReads;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -23,27 +25,29 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.nio.charset.StandardCharsets;
 
-/** One operator's call: read whole, answered once, and the connection ends behind the answer. */
-final class AdminHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+/**
+ * One caller's connection. An operator's call is read whole, answered once, and the connection ends
+ * behind the answer. Another process of this node, which asks for that, keeps its connection and
+ * makes one call after the other on it.
+ */
+final class AdminHandler extends SimpleChannelInboundHandler<FullHttpRequest>
+    implements ManagedConnection {
   private static final String WORKERS = "/-/menu-workers/";
 
   private final Admin admin;
   private final OperatorCalls calls;
-  private final Clock clock;
   private final double acceptedAt;
-  private boolean answered;
+  private Channel channel;
+  private ConnectionState state = ConnectionState.UNREAD;
   private long bytesRead;
 
-  /**
-   * A call that takes a worker out or back waits for its outcome; what comes behind it is not read.
-   */
-  private boolean maintenancePending;
+  /** Another process of this node calls on this connection. */
+  private boolean ofUpgradePeer;
 
-  AdminHandler(Admin admin, Clock clock) {
-    this.clock = clock;
-    this.acceptedAt = clock.now();
+  AdminHandler(Admin admin) {
     this.admin = admin;
     this.calls = admin.calls();
+    this.acceptedAt = admin.now();
   }
 
   /** Puts the connection's codec and this handler at the end of a pipeline. */
@@ -57,35 +61,83 @@
       @Override
       public void channelRead(ChannelHandlerContext ctx, Object bytes) {
         bytesRead += ((ByteBuf) bytes).readableBytes();
+        if (state == ConnectionState.UNREAD || state == ConnectionState.RESTING) {
+          state = ConnectionState.RECEIVING;
+          admin.connections().receiving(AdminHandler.this);
+        }
         ctx.fireChannelRead(bytes);
       }
-    };
-  }
 
-  /** What is told of the connection when the node closes it unasked. */
-  ForcedCloses.Closed asClosed() {
-    ConnectionState state =
-        answered || maintenancePending ? ConnectionState.BUSY : ConnectionState.RESTING;
-    return new ForcedCloses.Closed(state, false, bytesRead, clock.now() - acceptedAt);
+      @Override
+      public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (state == ConnectionState.UNREAD) {
+          state = ConnectionState.RESTING;
+        }
+        ctx.fireChannelReadComplete();
+      }
+    };
   }
 
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
-    admin.opened(ctx.channel());
+    channel = ctx.channel();
+    admin.connections().opened(this);
     ctx.fireChannelActive();
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    admin.closed(ctx.channel());
+    admin.closed(this);
+  }
+
+  // ---- The connection among others ----
+
+  @Override
+  public ConnectionState state() {
+    return state;
   }
 
+  @Override
+  public boolean trusted() {
+    return ofUpgradePeer;
+  }
+
+  @Override
+  public boolean readPending() {
+    return PendingReads.openAfterReading((AbstractNioChannel) channel, () -> bytesRead);
+  }
+
+  @Override
+  public ForcedCloses.Closed asClosed(double now) {
+    return new ForcedCloses.Closed(state, ofUpgradePeer, bytesRead, now - acceptedAt);
+  }
+
+  @Override
+  public void timedOut() {
+    channel.close();
+  }
+
+  @Override
+  public void evict() {
+    channel.close();
+  }
+
+  /** Ends the connection if no call lies there unread: that is answered, and ends it. */
+  void closeAfterReading() {
+    if (readPending() && state == ConnectionState.RESTING) {
+      channel.close();
+    }
+  }
+
+  // ---- Calls ----
+
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest call) {
-    if (answered || maintenancePending) {
+    if (state == ConnectionState.BUSY || state == ConnectionState.CLOSING) {
       return;
     }
-    admin.received(ctx.channel());
+    state = ConnectionState.BUSY;
+    admin.connections().busy(this);
     if (call.decoderResult().isFailure()) {
       answer(ctx, HttpResponseStatus.BAD_REQUEST, "not a call in HTTP/1.1\n");
       return;
@@ -121,6 +173,7 @@
       }
       case "/-/news", "/-/sibling", "/-/state" -> {
         if (expect(ctx, method, HttpMethod.POST)) {
+          ofUpgradePeer = call.headers().contains(HttpHeaderNames.CONNECTION, "keep-alive", true);
           fromUpgradePeer(ctx, path, call.content().toString(StandardCharsets.UTF_8));
         }
       }
@@ -142,6 +195,7 @@
           };
       answer(ctx, taken ? HttpResponseStatus.NO_CONTENT : HttpResponseStatus.NOT_FOUND, "");
     } catch (BadRequestException | IllegalArgumentException bad) {
+      ofUpgradePeer = false;
       answer(ctx, HttpResponseStatus.BAD_REQUEST, bad.getMessage() + "\n");
     }
   }
@@ -159,13 +213,11 @@
       return;
     }
     String worker = QueryStringDecoder.decodeComponent(path.substring(WORKERS.length(), slash));
-    maintenancePending = true;
     String change = (out ? "taken out: " : "taken back: ") + worker;
     calls.maintain(
         worker,
         out,
         outcome -> {
-          maintenancePending = false;
           switch (outcome) {
             case STORED -> answer(ctx, HttpResponseStatus.OK, change + "\n");
             case NOT_STORED_YET ->
@@ -190,17 +242,25 @@
   }
 
   private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
-    if (answered) {
+    if (state != ConnectionState.BUSY) {
       return;
     }
-    answered = true;
+    boolean keep = ofUpgradePeer && !admin.finishing();
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
     HttpUtil.setContentLength(response, response.content().readableBytes());
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    if (keep) {
+      state = ConnectionState.RESTING;
+      admin.connections().rest(this);
+      ctx.writeAndFlush(response);
+    } else {
+      state = ConnectionState.CLOSING;
+      admin.connections().await(this);
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
   }
 
   @Override
--- a/node/src/main/java/ferngrade/http/ClientRequestHandler.java
+++ b/node/src/main/java/ferngrade/http/ClientRequestHandler.java
@@ -40,7 +40,7 @@
    * @param arrived since when it may have been on this machine, ms on the clock
    * @throws BadRequestException if it cannot be used; there has been no response then
    */
-  void handle(ClientConnectionHandler connection, FullHttpRequest request, double arrived)
+  void handle(ClientConnection connection, FullHttpRequest request, double arrived)
       throws BadRequestException {
     if (request.decoderResult().isFailure()) {
       throw new BadRequestException("not a request in HTTP");
@@ -70,7 +70,7 @@
    * never had is relayed to the others. Where that fails the response is 503 and a close, so that
    * the worker's retry comes on a new connection, which another process may accept.
    */
-  private void callback(ClientConnectionHandler connection, WorkerCallback callback, String body) {
+  private void callback(ClientConnection connection, WorkerCallback callback, String body) {
     if (front.upgradePeers() != null && !coordinator.knowsOf(callback.id())) {
       front
           .upgradePeers()
@@ -92,7 +92,7 @@
     connection.respond(HttpResponseStatus.NO_CONTENT, "");
   }
 
-  private void job(ClientConnectionHandler connection, FullHttpRequest request, double arrived)
+  private void job(ClientConnection connection, FullHttpRequest request, double arrived)
       throws BadRequestException {
     Job job = reader.job(request, arrived);
     JobResponseHandler response = new JobResponseHandler(connection);
--- a/node/src/main/java/ferngrade/http/ConnectionState.java
+++ b/node/src/main/java/ferngrade/http/ConnectionState.java
@@ -1,9 +1,13 @@
 package ferngrade.http;
 
-/** What a client connection is doing. */
+/** What a connection that others have opened is doing. */
 public enum ConnectionState {
-  /** Between requests, or one is arriving. */
+  /** Accepted, and not read yet: a whole request may lie there. */
+  UNREAD,
+  /** Between requests; when it was last read, nothing of the next one had come. */
   RESTING,
+  /** A part of a request has been read. */
+  RECEIVING,
   /** A request is being handled. */
   BUSY,
   /** This side has closed; what still arrives is dropped, as it could not be answered. */
--- a/node/src/main/java/ferngrade/http/ForcedCloses.java
+++ b/node/src/main/java/ferngrade/http/ForcedCloses.java
@@ -37,7 +37,7 @@
   record Closed(ConnectionState state, boolean trusted, long bytesRead, double age) {
     /** True if its peer may have sent something that is not answered. */
     boolean mayLoseRequest() {
-      return state != ConnectionState.CLOSING && !trusted;
+      return state == ConnectionState.UNREAD || state == ConnectionState.RECEIVING;
     }
   }
 
--- a/node/src/main/java/ferngrade/http/FrontendShutdown.java
+++ b/node/src/main/java/ferngrade/http/FrontendShutdown.java
@@ -15,7 +15,7 @@
    */
   private static final double LINGER = 1000;
 
-  private final ClientConnections connections;
+  private final ConnectionTable<ClientConnection> connections;
   private final IntSupplier jobsInFlight;
   private final Runnable stopListening;
   private final Clock clock;
@@ -39,7 +39,7 @@
   }
 
   FrontendShutdown(
-      ClientConnections connections,
+      ConnectionTable<ClientConnection> connections,
       IntSupplier jobsInFlight,
       Runnable stopListening,
       Clock clock,
@@ -83,7 +83,7 @@
     if (phase.compareTo(Phase.FINISHING) < 0) {
       phase = Phase.FINISHING;
       whenDone = done;
-      connections.idle().forEach(ClientConnectionHandler::closeGracefully);
+      connections.idle().forEach(ClientConnection::closeGracefully);
       at(budget.unfinishedUntil(), this::rejectUnfinished);
       at(budget.end(), this::end);
       advance();
@@ -109,9 +109,7 @@
   private void linger() {
     phase = Phase.LINGERING;
     stopListening.run();
-    connections.open().stream()
-        .filter(ClientConnectionHandler::resting)
-        .forEach(ClientConnectionHandler::closeAfterReading);
+    connections.open().forEach(ClientConnection::closeAfterReading);
   }
 
   /** Rejects requests that have arrived in part, so that nothing read goes unanswered. */
@@ -119,7 +117,7 @@
     if (phase == Phase.FINISHING) {
       linger();
     }
-    connections.open().forEach(ClientConnectionHandler::rejectUnfinished);
+    connections.open().forEach(ClientConnection::rejectUnfinished);
   }
 
   private void end() {
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -19,11 +19,12 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.concurrent.Executor;
 
 /**
  * The address to which clients send jobs and workers their callbacks. It listens, owns the counts
  * of jobs in flight and of waiting bytes, and answers its connections whether the node drains;
- * which connection must close is up to {@link ClientConnections}, the order of a shutdown to {@link
+ * which connection must close is up to {@link ConnectionTable}, the order of a shutdown to {@link
  * FrontendShutdown}. Belongs to the event loop.
  */
 public final class HttpFrontend {
@@ -32,6 +33,9 @@
 
   private static final int BACKLOG = 1024;
 
+  /** How long a connection may be awaited, ms: with the response on top it ends well within 3 s. */
+  private static final double INPUT_TIMEOUT = 1500;
+
   private ConnectionLimits limits;
   private final UpgradePeers upgradePeers;
   private final ChannelProvider channels;
@@ -39,7 +43,7 @@
   private final ArrivalClock arrivals;
   private final AcceptTimeEstimator acceptTimes;
   private final AcceptSwitch acceptSwitch;
-  private final ClientConnections connections;
+  private final ConnectionTable<ClientConnection> connections;
   private final FrontendShutdown shutdown;
   private final ForcedCloses closes;
   private Channel listener;
@@ -55,6 +59,7 @@
       Clock clock,
       ArrivalClock arrivals,
       Timers timers,
+      Executor loop,
       UpgradePeers upgradePeers,
       ChannelProvider channels,
       ForcedCloses closes) {
@@ -64,13 +69,26 @@
     this.channels = channels;
     this.clock = clock;
     this.arrivals = arrivals;
-    this.acceptTimes = new AcceptTimeEstimator(arrivals);
-    this.acceptSwitch = new AcceptSwitch(timers);
-    this.connections = new ClientConnections(limits, clock, timers, acceptSwitch, closes);
+    this.acceptTimes = new AcceptTimeEstimator(arrivals, this::acceptsAtOnce);
+    this.acceptSwitch = new AcceptSwitch(timers, acceptTimes);
+    this.connections =
+        new ConnectionTable<>(
+            limitsOf(limits),
+            INPUT_TIMEOUT,
+            acceptSwitch,
+            new ConnectionTable.Surroundings(clock, timers, loop, closes));
     this.shutdown =
         new FrontendShutdown(connections, () -> jobsInFlight, this::stopListening, clock, timers);
   }
 
+  private int acceptsAtOnce() {
+    return acceptSwitch.acceptsAtOnce();
+  }
+
+  private static ConnectionTable.Limits limitsOf(ConnectionLimits limits) {
+    return new ConnectionTable.Limits(limits.clients(), limits.awaited());
+  }
+
   /**
    * Begins to listen: on {@code inheritedSocket}, a listening socket that this process was handed,
    * or if that is null on a socket of its own at {@code address}.
@@ -123,7 +141,7 @@
   private void stopListening() {
     if (!inherited && listener.isActive()) {
       PendingReads.acceptWaiting(
-          (AbstractNioChannel) listener, connections::accepted, connections::hasCapacity);
+          (AbstractNioChannel) listener, connections::accepted, connections::hasPlace);
     }
     listener.close();
   }
@@ -136,7 +154,7 @@
   /** Changes the limits of connections; jobs in flight go on. */
   public void limitTo(ConnectionLimits changed) {
     limits = changed;
-    connections.limitTo(changed);
+    connections.limitTo(limitsOf(changed));
   }
 
   /** Leaves new connections to an earlier process that serves, or accepts them again. */
@@ -173,7 +191,7 @@
    */
   public void drainForOperators() {
     drainedByOperators = true;
-    connections.idle().forEach(ClientConnectionHandler::closeGracefully);
+    connections.idle().forEach(ClientConnection::closeAfterReading);
   }
 
   /** Operators end the draining. */
@@ -215,7 +233,7 @@
   }
 
   /** The open connections of this frontend. */
-  ClientConnections connections() {
+  ConnectionTable<ClientConnection> connections() {
     return connections;
   }
 
@@ -244,7 +262,7 @@
   }
 
   /** The connection is between two requests. */
-  void rest(ClientConnectionHandler connection) {
+  void rest(ClientConnection connection) {
     if (finishing() || drainedByOperators) {
       connection.closeGracefully();
     } else {
@@ -253,7 +271,7 @@
   }
 
   /** The connection has ended. */
-  void closed(ClientConnectionHandler connection) {
+  void closed(ClientConnection connection) {
     connections.closed(connection);
     shutdown.advance();
   }
--- a/node/src/main/java/ferngrade/http/JobResponseHandler.java
+++ b/node/src/main/java/ferngrade/http/JobResponseHandler.java
@@ -11,9 +11,9 @@
 
 /** Writes the final answer of a job to the connection that the job came on. */
 final class JobResponseHandler implements ResponseHandler {
-  private final ClientConnectionHandler connection;
+  private final ClientConnection connection;
 
-  JobResponseHandler(ClientConnectionHandler connection) {
+  JobResponseHandler(ClientConnection connection) {
     this.connection = connection;
   }
 
--- a/node/src/main/java/ferngrade/http/UpgradePeers.java
+++ b/node/src/main/java/ferngrade/http/UpgradePeers.java
@@ -52,7 +52,7 @@
   private static final int CONNECT_TIMEOUT = 500;
 
   /** The newest processes to keep: the earlier ones have ended long ago. */
-  private static final int MAX_PEERS = 8;
+  static final int MAX_PEERS = 8;
 
   /** The status if the other process did not answer. */
   private static final int NO_ANSWER = -1;
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -176,6 +176,7 @@
             clock,
             arrivals,
             timers,
+            loop,
             upgradePeers,
             channels,
             new ForcedCloses("clients", loopMonitor, log));
@@ -401,7 +402,7 @@
             new ForcedCloses("operators", loopMonitor, log),
             () -> reloadsOk,
             () -> reloadsFailed);
-    return new OperatorsEndpoint(parts, sharedState, folder, clock, timers, log);
+    return new OperatorsEndpoint(parts, sharedState, folder, clock, timers, loop, log);
   }
 
   private DiscoveryWatch newWatch(InetSocketAddress address, Runnable whenListed) {
--- a/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
+++ b/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.concurrent.Executor;
 
 /**
  * Where operators call, from its first call to the last: it tells the other processes of the node
@@ -17,11 +18,6 @@
  * loop.
  */
 final class OperatorsEndpoint {
-  /**
-   * Operators' connections that may be open, beside all else: the staff makes one call at a time.
-   */
-  private static final int MAX_OPERATORS = 8;
-
   /**
    * How long a process that ends waits for the disk, ms: it must not outlast its budget for that.
    */
@@ -46,13 +42,14 @@
       StateFolder folder,
       Clock clock,
       Timers timers,
+      Executor loop,
       RateLimitedLog log) {
     this.parts = parts;
     this.sharedState = sharedState;
     this.folder = folder;
     this.clock = clock;
     this.timers = timers;
-    this.admin = new Admin(new OperatorCalls(parts, timers, log), clock, timers, MAX_OPERATORS);
+    this.admin = new Admin(new OperatorCalls(parts, timers, log), clock, timers, loop);
   }
 
   /** Begins to listen at {@code at}. */
--- a/node/src/main/java/ferngrade/transport/PendingReads.java
+++ b/node/src/main/java/ferngrade/transport/PendingReads.java
@@ -13,7 +13,7 @@
   /** Bytes read in one go at most: more than the system holds for one connection by default. */
   private static final int MAX_BYTES = 8 << 20;
 
-  /** Connections that one read of a listener accepts at most, by the default of Netty. */
+  /** Connections that one read of a listener accepts at most. */
   public static final int MAX_ACCEPTS = 16;
 
   private PendingReads() {}
@@ -32,7 +32,7 @@
    * would reset them, and with them what their peers have sent.
    *
    * @param accepted the count of connections accepted so far
-   * @param capacity true while {@link #MAX_ACCEPTS} more connections fit
+   * @param capacity true while more connections fit
    */
   public static void acceptWaiting(
       AbstractNioChannel listener, LongSupplier accepted, BooleanSupplier capacity) {
