--- a/node/src/test/java/ferngrade/server/UnreadConnectionsTest.java
+++ b/node/src/test/java/ferngrade/server/UnreadConnectionsTest.java
@@ -159,6 +159,20 @@
     assertEquals(outcome(call), NOT_STORED_YET);
   }
 
+  @DataProvider
+  public Object[][] parts() {
+    return new Object[][] {{FIRST_LINE}, {PART_OF_A_LINE}};
+  }
+
+  @Test(dataProvider = "parts")
+  public void requestOfWhichAPartWasReadIsAnsweredWhenItsTimeIsOver(int before) throws Exception {
+    start(64);
+    RawHttp caller = connect(node.address(), request("a").substring(0, before));
+    settled();
+    advance(CLIENT_TIMEOUT + 1);
+    assertEquals(outcome(caller), "408");
+  }
+
   /** A client that has had an answer keeps its connection, and many others connect. */
   @Test
   public void requestOnAnIdleConnectionIsAnsweredThoughTheProcessFillsUp() throws Exception {
