Keep one connection between each two processes of a node for their calls

Cause: each relayed callback, announcement and record went on a connection of its own, and competed with operators for the few places at the other process's listener.

Change: UpgradePeer owns the calls to one address. Its first call asks with `Connection: keep-alive`, the others wait; if the connection is kept they are pipelined on it, and a process of an earlier release, which closes it, gets a connection per call as before. Calls that a kept connection leaves unanswered are made once more; a call that has timed out keeps its place among the answers. What is held for one address is bounded in calls and bytes. One Dialer serves all calls.

--- /dev/null
+++ b/node/src/main/java/ferngrade/http/SingleCallDial.java
@@ -0,0 +1,62 @@
+package ferngrade.http;
+
+import ferngrade.transport.Dialer;
+import ferngrade.transport.FaultOrigin;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** Makes one call to another process of this node on a connection of its own. */
+final class SingleCallDial implements Dialer.Listener, PeerConnection.Owner {
+  private final PeerCall call;
+  private final Runnable whenRefused;
+
+  SingleCallDial(PeerCall call, Runnable whenRefused) {
+    this.call = call;
+    this.whenRefused = whenRefused;
+  }
+
+  void dial(Dialer dialer, InetSocketAddress address) {
+    dialer.dial(address, call.timeout(), this);
+  }
+
+  @Override
+  public boolean wanted() {
+    return !call.ended();
+  }
+
+  @Override
+  public void connected(Channel channel) {
+    PeerConnection connection = PeerConnection.opened(channel, this);
+    if (call.ended()) {
+      connection.close();
+      return;
+    }
+    call.carriedAloneBy(connection);
+    connection.write(call, HttpHeaderValues.CLOSE);
+  }
+
+  @Override
+  public void failed(FaultOrigin origin, Throwable cause) {
+    if (PeerConnection.refused(origin, cause)) {
+      whenRefused.run();
+    }
+    call.end(PeerCall.NO_ANSWER);
+  }
+
+  @Override
+  public void answered(PeerCall answered, int status) {
+    call.end(status);
+  }
+
+  @Override
+  public void answeredLast(PeerCall answered, int status, List<PeerCall> unanswered) {
+    call.end(status);
+  }
+
+  @Override
+  public void broken(List<PeerCall> unanswered) {
+    call.end(PeerCall.NO_ANSWER);
+  }
+}
--- a/node/src/main/java/ferngrade/http/UpgradePeers.java
+++ b/node/src/main/java/ferngrade/http/UpgradePeers.java
@@ -5,33 +5,16 @@
 import ferngrade.transport.ChannelProvider;
 import ferngrade.transport.ChannelProvider.Purpose;
 import ferngrade.transport.Dialer;
-import ferngrade.transport.FaultOrigin;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.EnumMap;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 
@@ -54,17 +37,13 @@
   /** The newest processes to keep: the earlier ones have ended long ago. */
   static final int MAX_PEERS = 8;
 
-  /** The status if the other process did not answer. */
-  private static final int NO_ANSWER = -1;
-
   private static final int TAKEN_STATUS = HttpResponseStatus.NO_CONTENT.code();
   private static final int UNKNOWN_STATUS = HttpResponseStatus.NOT_FOUND.code();
 
-  private final EventLoopGroup group;
   private final Timers timers;
   private final RateLimitedLog log;
-  private final ChannelProvider channels;
-  private final Set<InetSocketAddress> addresses = new LinkedHashSet<>();
+  private final Dialer dialer;
+  private final Map<InetSocketAddress, UpgradePeer> peers = new LinkedHashMap<>();
   private final Map<RelayOutcome, Long> relayed = new EnumMap<>(RelayOutcome.class);
   private InetSocketAddress own;
 
@@ -80,26 +59,45 @@
 
   public UpgradePeers(
       EventLoopGroup group, Timers timers, RateLimitedLog log, ChannelProvider channels) {
-    this.channels = channels;
-    this.group = group;
     this.timers = timers;
     this.log = log;
+    this.dialer =
+        new Dialer(
+            group,
+            timers,
+            channels,
+            Purpose.HANDOVER,
+            CONNECT_TIMEOUT,
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                new PeerConnection().addTo(channel.pipeline());
+              }
+            });
   }
 
   /** This process takes calls at this address; another that had it before has ended. */
   public void own(InetSocketAddress address) {
     own = address;
-    addresses.remove(address);
+    forget(address);
   }
 
   /** Another process takes calls at this address. */
   public void at(InetSocketAddress other) {
-    if (other.equals(own) || !addresses.add(other)) {
+    if (other.equals(own) || peers.containsKey(other)) {
       return;
     }
+    peers.put(other, new UpgradePeer(other, dialer, timers, this::refused));
     log.line("another process of this node is at " + other);
-    if (addresses.size() > MAX_PEERS) {
-      addresses.remove(addresses.iterator().next());
+    if (peers.size() > MAX_PEERS) {
+      forget(peers.keySet().iterator().next());
+    }
+  }
+
+  private void forget(InetSocketAddress address) {
+    UpgradePeer peer = peers.remove(address);
+    if (peer != null) {
+      peer.forget();
     }
   }
 
@@ -116,7 +114,7 @@
 
   /** Relays a callback; {@code outcome} runs once. */
   void relay(String callback, Consumer<RelayOutcome> outcome) {
-    RelayRound round = new RelayRound(addresses.size(), outcome);
+    RelayRound round = new RelayRound(peers.size(), outcome);
     callAll("/-/news", callback, RELAY_TIMEOUT, round::answered);
   }
 
@@ -160,116 +158,17 @@
   }
 
   private void callAll(String path, String body, double timeout, IntConsumer status) {
-    List.copyOf(addresses).forEach(each -> call(each, path, body, timeout, status));
-  }
-
-  private void call(
-      InetSocketAddress address, String path, String body, double timeout, IntConsumer status) {
-    Call call = new Call(address, path, body, status);
-    timers.after(timeout, () -> call.end(NO_ANSWER));
-    Dialer dialer =
-        new Dialer(
-            group,
-            timers,
-            channels,
-            Purpose.HANDOVER,
-            CONNECT_TIMEOUT,
-            new ChannelInitializer<Channel>() {
-              @Override
-              protected void initChannel(Channel channel) {
-                channel
-                    .pipeline()
-                    .addLast(
-                        new HttpClientCodec(),
-                        new HttpObjectAggregator(Admin.MAX_CALL_BYTES),
-                        call);
-              }
-            });
-    dialer.dial(address, timeout, call);
-  }
-
-  /** Nobody listens there any more: that process has ended. */
-  private void forget(InetSocketAddress address) {
-    if (addresses.remove(address)) {
-      log.line("the process of this node at " + address + " has ended");
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    for (UpgradePeer peer : List.copyOf(peers.values())) {
+      peer.call(new PeerCall(path, bytes, timeout, status));
     }
   }
 
-  /**
-   * One call to another process; {@code status} gets its answer, or the lack of one, once. Each try
-   * of its dial has a channel of its own, hence sharable; at most one of them comes up.
-   */
-  @ChannelHandler.Sharable
-  private final class Call extends SimpleChannelInboundHandler<FullHttpResponse>
-      implements Dialer.Listener {
-    private final InetSocketAddress address;
-    private final String path;
-    private final String body;
-    private final IntConsumer status;
-    private Channel channel;
-    private boolean ended;
-
-    Call(InetSocketAddress address, String path, String body, IntConsumer status) {
-      this.address = address;
-      this.path = path;
-      this.body = body;
-      this.status = status;
-    }
-
-    @Override
-    public boolean wanted() {
-      return !ended;
-    }
-
-    @Override
-    public void connected(Channel opened) {
-      if (ended) {
-        opened.close();
-        return;
-      }
-      channel = opened;
-      FullHttpRequest request =
-          new DefaultFullHttpRequest(
-              HttpVersion.HTTP_1_1,
-              HttpMethod.POST,
-              path,
-              Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
-      HttpUtil.setContentLength(request, request.content().readableBytes());
-      request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-      opened.writeAndFlush(request);
-    }
-
-    @Override
-    public void failed(FaultOrigin origin, Throwable cause) {
-      if (origin != FaultOrigin.LOCAL && !(cause instanceof ConnectTimeoutException)) {
-        forget(address);
-      }
-      end(NO_ANSWER);
-    }
-
-    @Override
-    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
-      end(answer.status().code());
-    }
-
-    @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
-      end(NO_ANSWER);
-    }
-
-    @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      end(NO_ANSWER);
-    }
-
-    private void end(int answer) {
-      if (!ended) {
-        ended = true;
-        if (channel != null) {
-          channel.close();
-        }
-        status.accept(answer);
-      }
+  /** Nobody listens there any more: that process has ended. */
+  private void refused(UpgradePeer peer) {
+    if (peers.remove(peer.address(), peer)) {
+      log.line("the process of this node at " + peer.address() + " has ended");
     }
+    peer.forget();
   }
 }
