Accept the rest of the backlog as places come free while a process ends

Callers whose connections waited beyond the places of a process that ends were reset, with a whole request in their sockets. Cause: the listener closed behind one round of accepts, which is bounded by the places that are free. Change: the listener closes only once an accept leaves places free, or at the end of the budget; each close of a connection looks again.

--- a/node/src/main/java/ferngrade/http/FrontendShutdown.java
+++ b/node/src/main/java/ferngrade/http/FrontendShutdown.java
@@ -17,7 +17,7 @@
 
   private final ConnectionTable<ClientConnection> connections;
   private final IntSupplier jobsInFlight;
-  private final Runnable stopListening;
+  private final Listening listening;
   private final Clock clock;
   private final Timers timers;
   private Phase phase = Phase.SERVING;
@@ -27,6 +27,18 @@
 
   private Runnable whenDone;
 
+  /** The frontend's listener. */
+  interface Listening {
+    /** Accepts what waits, as far as there are places; closes behind the last that waits. */
+    void acceptTheRest();
+
+    /** True until the listener is closed. */
+    boolean listens();
+
+    /** Closes the listener, whatever waits there. */
+    void close();
+  }
+
   private enum Phase {
     SERVING,
     /** Each response closes its connection. */
@@ -41,12 +53,12 @@
   FrontendShutdown(
       ConnectionTable<ClientConnection> connections,
       IntSupplier jobsInFlight,
-      Runnable stopListening,
+      Listening listening,
       Clock clock,
       Timers timers) {
     this.connections = connections;
     this.jobsInFlight = jobsInFlight;
-    this.stopListening = stopListening;
+    this.listening = listening;
     this.clock = clock;
     this.timers = timers;
   }
@@ -100,16 +112,27 @@
       at(clock.now() + LINGER - ShutdownBudget.READING_REJECTIONS, this::rejectUnfinished);
       at(clock.now() + LINGER, this::end);
     }
-    if (phase == Phase.LINGERING && connections.isEmpty()) {
-      end();
+    if (phase == Phase.LINGERING) {
+      acceptTheRest();
+      if (connections.isEmpty()) {
+        end();
+      }
     }
   }
 
   /** No callback is awaited any more: listening ends, and so do connections between requests. */
   private void linger() {
     phase = Phase.LINGERING;
-    stopListening.run();
     connections.open().forEach(ClientConnection::closeAfterReading);
+    acceptTheRest();
+  }
+
+  /** What waits to be accepted gets its rejection as soon as there is a place for it. */
+  private void acceptTheRest() {
+    if (listening.listens()) {
+      listening.acceptTheRest();
+      connections.open().forEach(ClientConnection::closeAfterReading);
+    }
   }
 
   /** Rejects requests that have arrived in part, so that nothing read goes unanswered. */
@@ -123,7 +146,7 @@
   private void end() {
     if (phase != Phase.ENDED) {
       phase = Phase.ENDED;
-      stopListening.run();
+      listening.close();
       whenDone.run();
     }
   }
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -78,7 +78,7 @@
             acceptSwitch,
             new ConnectionTable.Surroundings(clock, timers, loop, closes));
     this.shutdown =
-        new FrontendShutdown(connections, () -> jobsInFlight, this::stopListening, clock, timers);
+        new FrontendShutdown(connections, () -> jobsInFlight, listening(), clock, timers);
   }
 
   private int acceptsAtOnce() {
@@ -134,16 +134,31 @@
     return bound;
   }
 
-  /**
-   * Listens no longer. What waits to be accepted is accepted before, as far as it fits: others must
-   * not lose an answer for it. On a socket that another process shares, that one accepts it.
-   */
-  private void stopListening() {
-    if (!inherited && listener.isActive()) {
-      PendingReads.acceptWaiting(
-          (AbstractNioChannel) listener, connections::accepted, connections::hasPlace);
-    }
-    listener.close();
+  /** What the shutdown does with the listener. */
+  private FrontendShutdown.Listening listening() {
+    return new FrontendShutdown.Listening() {
+      @Override
+      public void acceptTheRest() {
+        // On a socket that another process shares, that one accepts it.
+        if (!inherited) {
+          PendingReads.acceptWaiting(
+              (AbstractNioChannel) listener, connections::accepted, connections::hasPlace);
+        }
+        if (inherited || connections.hasPlace()) {
+          listener.close();
+        }
+      }
+
+      @Override
+      public boolean listens() {
+        return listener.isActive();
+      }
+
+      @Override
+      public void close() {
+        listener.close();
+      }
+    };
   }
 
   /** The address at which the frontend listens. */
