Bound partial requests at once, and the estimate of waits in the backlog

Change: each first part has the limits looked at; 32 operators' connections may be open; a read that accepts nothing forgets no wait, and a wait counts for 500 ms at most, by which an answer may be late. Strangers that are silent and those that send share one limit again.

--- a/node/src/main/java/ferngrade/http/AcceptSwitch.java
+++ b/node/src/main/java/ferngrade/http/AcceptSwitch.java
@@ -24,7 +24,7 @@
 
   private final Timers timers;
 
-  private final Listener pauses;
+  private final PauseListener pauses;
 
   private int places = PendingReads.MAX_ACCEPTS;
   private final Set<Reason> reasons = EnumSet.noneOf(Reason.class);
@@ -43,10 +43,10 @@
   }
 
   /** Is notified of pauses that leave connections waiting, with nobody else to accept them. */
-  interface Listener {
+  interface PauseListener {
     /** Is not interested. */
-    Listener NONE =
-        new Listener() {
+    PauseListener NONE =
+        new PauseListener() {
           @Override
           public void paused() {}
 
@@ -61,7 +61,7 @@
     void resumed();
   }
 
-  AcceptSwitch(Timers timers, Listener pauses) {
+  AcceptSwitch(Timers timers, PauseListener pauses) {
     this.timers = timers;
     this.pauses = pauses;
   }
--- a/node/src/main/java/ferngrade/http/AcceptTimeEstimator.java
+++ b/node/src/main/java/ferngrade/http/AcceptTimeEstimator.java
@@ -9,7 +9,13 @@
  * deadline counts from then. Stands in the listener's pipeline, on the event loop.
  */
 final class AcceptTimeEstimator extends ChannelInboundHandlerAdapter
-    implements AcceptSwitch.Listener {
+    implements AcceptSwitch.PauseListener {
+  /**
+   * How long a connection is taken to have waited at most, ms: an answer that is late by no more
+   * than that is not lost.
+   */
+  static final double MAX_WAIT = 500;
+
   private final ArrivalClock arrivals;
 
   /**
@@ -62,18 +68,18 @@
   public void channelRead(ChannelHandlerContext ctx, Object accepted) {
     if (acceptedThisTurn++ == 0) {
       limit = acceptsAtOnce.getAsInt();
-      if (!mayHaveWaited()) {
-        waitingSince = arrivals.since();
-      }
+      waitingSince =
+          mayHaveWaited() ? Math.max(waitingSince, arrivals.since() - MAX_WAIT) : arrivals.since();
     }
     ctx.fireChannelRead(accepted);
   }
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
-    if (acceptedThisTurn >= Math.max(1, limit)) {
+    if (acceptedThisTurn >= limit) {
       lookAgainInTheNextTurn();
-    } else {
+    } else if (acceptedThisTurn > 0) {
+      // Nothing waits any more. Where an accept has failed, what has waited still does.
       waitedUntilTurn = -1;
     }
     acceptedThisTurn = 0;
--- a/node/src/main/java/ferngrade/http/Admin.java
+++ b/node/src/main/java/ferngrade/http/Admin.java
@@ -37,8 +37,11 @@
   /** Callers that may be silent at a time: the staff makes one call at a time. */
   private static final int MAX_SILENT = 8;
 
+  /** Calls that may wait for the disk at a time. */
+  private static final int MAX_WAITING = 16;
+
   /** Connections that may be open at a time, those of the node's other processes included. */
-  private static final int MAX_OPEN = MAX_SILENT + UpgradePeers.MAX_PEERS;
+  private static final int MAX_OPEN = MAX_SILENT + MAX_WAITING + UpgradePeers.MAX_PEERS;
 
   private final OperatorCalls calls;
   private final Clock clock;
@@ -54,7 +57,7 @@
   public Admin(OperatorCalls calls, Clock clock, Timers timers, Executor loop) {
     this.calls = calls;
     this.clock = clock;
-    this.acceptSwitch = new AcceptSwitch(timers, AcceptSwitch.Listener.NONE);
+    this.acceptSwitch = new AcceptSwitch(timers, AcceptSwitch.PauseListener.NONE);
     this.connections =
         new ConnectionTable<>(
             new ConnectionTable.Limits(MAX_OPEN, MAX_SILENT),
--- a/node/src/main/java/ferngrade/http/ConnectionTable.java
+++ b/node/src/main/java/ferngrade/http/ConnectionTable.java
@@ -21,8 +21,8 @@
  * <p>No more are accepted than there are places; the rest waits in the listener's backlog, and is
  * not lost. A connection is read before it may have to give way, in the same turn: one with a whole
  * request in its socket is served and not closed. Those that then hold nothing give way first, the
- * oldest before the others; those that are trusted come last, since a client that finds its
- * connection closed has to send its request anew.
+ * oldest before the others, and before those that are trusted: a client that finds its connection
+ * closed has to send its request anew.
  *
  * <p>Belongs to the event loop.
  */
@@ -36,7 +36,10 @@
    */
   static final double SENDING_GRACE = 500;
 
-  /** The share of free places, or one accept's worth, below which nothing has that grace. */
+  /**
+   * The share of all places, or one accept's worth of them, which is kept free: with less of them
+   * free no silent connection has that grace.
+   */
   private static final double SCARCE = 0.25;
 
   private final Clock clock;
@@ -155,6 +158,7 @@
     if (!awaited.containsKey(connection)) {
       await(connection);
     }
+    reviewLater();
   }
 
   /** A complete request has arrived, which is being handled from here on. */
@@ -216,7 +220,8 @@
 
   private void limitSilent() {
     List<C> silent = awaiting(ConnectionTable::silent).toList();
-    int excess = silent.size() - limits.awaited();
+    int receiving = (int) awaiting(ConnectionTable::receivingUntrusted).count();
+    int excess = silent.size() + receiving - limits.awaited();
     if (excess > 0) {
       boolean scarce = places() < Math.min(PendingReads.MAX_ACCEPTS, SCARCE * limits.open());
       giveWay(
@@ -256,7 +261,7 @@
     return clock.now() - awaited.get(connection) >= SENDING_GRACE;
   }
 
-  /** Closes so many of the candidates, but none that has more to say when it is read once more. */
+  /** Closes so many of the candidates, but none whose state changes when it is read once more. */
   private void giveWay(Stream<C> candidates, int count, Reason reason) {
     int left = count;
     for (C each : candidates.toList()) {
--- a/node/src/main/java/ferngrade/http/ManagedConnection.java
+++ b/node/src/main/java/ferngrade/http/ManagedConnection.java
@@ -15,7 +15,7 @@
    */
   boolean readPending();
 
-  /** What is told of the connection when it is closed unasked, at {@code now} on the clock. */
+  /** What is logged of the connection when it is closed unasked, at {@code now} on the clock. */
   ForcedCloses.Closed asClosed(double now);
 
   /** Ends it since what is awaited, a whole request or the peer's close, has not come in time. */
--- a/node/src/test/java/ferngrade/server/UnreadConnectionsTest.java
+++ b/node/src/test/java/ferngrade/server/UnreadConnectionsTest.java
@@ -6,7 +6,10 @@
 import ferngrade.http.RawHttp;
 import ferngrade.node.FaultInjectingFileOperations;
 import ferngrade.node.FaultInjectingFileOperations.Operation;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -21,6 +24,7 @@
   private static final double CLIENT_TIMEOUT = 1500;
   private static final double CALL_TIMEOUT = 1000;
   private static final double SENDING_GRACE = 500;
+  private static final String NO_MORE_JOBS = "no more jobs are accepted";
   private static final double STORE_TIMEOUT = 700;
 
   /** The answer to each job: the dispatcher refuses all. */
@@ -198,4 +202,55 @@
     release.countDown();
     assertAllGet(REFUSED, callers);
   }
+
+  /** Fails where bodies in part are bounded by the next sweep only. */
+  @Test
+  public void partsThatManySilentConnectionsSendAtOnceAreBoundedAtOnce() throws Exception {
+    start(64);
+    List<RawHttp> silent = connect(2 * awaited(64), node.address(), "");
+    settled();
+    for (RawHttp each : silent) {
+      each.write(request("a").substring(0, PART_OF_A_LINE));
+    }
+    assertEquals(outcome(silent.get(0)), "503");
+  }
+
+  /** Fails where operators' calls that wait for the disk keep all others from being accepted. */
+  @Test
+  public void operatorsCallIsAnsweredThoughManyOthersWaitForTheDisk() throws Exception {
+    start(64);
+    files.fail(Operation.WRITE, FaultInjectingFileOperations.error("no space"));
+    connect(16, node.adminAddress(), DISABLE);
+    settled();
+    RawHttp ready = connect(node.adminAddress(), RawHttp.message("GET /-/ready HTTP/1.1", ""));
+    assertEquals(outcome(ready), YES);
+  }
+
+  /** Fails where a process that ends resets the connections for which it has no place at once. */
+  @Test
+  public void requestsBeyondThePlacesThatWaitAtTheEndAreRejected() throws Exception {
+    start(64);
+    settled();
+    holdNextAt(NO_MORE_JOBS);
+    CompletableFuture<Void> stopped = CompletableFuture.runAsync(this::stopAtOnce);
+    held.await();
+    int clients = ConnectionLimits.within(64, MEMORY_MB).clients() + 10;
+    List<RawHttp> callers = connect(clients, node.address(), request("ID"));
+    release.countDown();
+    List<String> outcomes = new ArrayList<>();
+    for (RawHttp each : callers) {
+      outcomes.add(outcome(each));
+      each.close();
+    }
+    assertEquals(outcomes, Collections.nCopies(clients, REFUSED));
+    stopped.get();
+  }
+
+  private void stopAtOnce() {
+    try {
+      node.stop(0);
+    } catch (InterruptedException interrupted) {
+      throw new IllegalStateException(interrupted);
+    }
+  }
 }
