Count an operators' call's wait for the disk from when it may have come

STORE_TIMEOUT began when the call was handled. Behind a held-up loop the 503 came 0.7 s after that, when the caller's 1 s was over. It counts from the earliest time at which the bytes may have come, with at least 50 ms for the disk, since that time is a bound.

Test: a call written while the loop is held up for 700 ms of the test's clock gets its 503 within 100 ms more. The test's node now has an operators' address, a folder and a stored list.

--- a/node/src/main/java/ferngrade/http/AdminHandler.java
+++ b/node/src/main/java/ferngrade/http/AdminHandler.java
@@ -37,6 +37,12 @@
   private final Admin admin;
   private final OperatorCalls calls;
   private final double acceptedAt;
+  private final double acceptedSince;
+  private final long acceptTurn;
+
+  /** Since when the present call may have been on this machine, ms on the clock. */
+  private double arrived;
+
   private Channel channel;
   private ConnectionState state = ConnectionState.UNREAD;
   private long bytesRead;
@@ -48,6 +54,8 @@
     this.admin = admin;
     this.calls = admin.calls();
     this.acceptedAt = admin.now();
+    this.acceptedSince = calls.arrivals().since();
+    this.acceptTurn = calls.arrivals().turn();
   }
 
   /** Puts the connection's codec and this handler at the end of a pipeline. */
@@ -63,6 +71,7 @@
         bytesRead += ((ByteBuf) bytes).readableBytes();
         if (state == ConnectionState.UNREAD || state == ConnectionState.RESTING) {
           state = ConnectionState.RECEIVING;
+          arrived = arrivedSince();
           admin.connections().receiving(AdminHandler.this);
         }
         ctx.fireChannelRead(bytes);
@@ -78,6 +87,11 @@
     };
   }
 
+  private double arrivedSince() {
+    ArrivalClock arrivals = calls.arrivals();
+    return arrivals.turn() <= acceptTurn + 1 ? acceptedSince : arrivals.since();
+  }
+
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
     channel = ctx.channel();
@@ -217,6 +231,7 @@
     calls.maintain(
         worker,
         out,
+        arrived,
         outcome -> {
           switch (outcome) {
             case STORED -> answer(ctx, HttpResponseStatus.OK, change + "\n");
--- a/node/src/main/java/ferngrade/http/OperatorCalls.java
+++ b/node/src/main/java/ferngrade/http/OperatorCalls.java
@@ -1,6 +1,7 @@
 package ferngrade.http;
 
 import ferngrade.config.EndpointListParser;
+import ferngrade.node.Clock;
 import ferngrade.node.LoopMonitor;
 import ferngrade.node.OperatorState;
 import ferngrade.node.RateLimitedLog;
@@ -17,15 +18,21 @@
  */
 public final class OperatorCalls {
   /**
-   * How long a change of maintenance waits to be stored before its caller is notified that it is
-   * not yet, ms. A caller waits 1 s, and the node may be held up for 150 ms in between.
+   * How long after its call a change of maintenance waits to be stored before the caller is
+   * notified that it is not yet, ms. A caller waits 1 s, and the node may be held up for 150 ms in
+   * between.
    */
   public static final double STORE_TIMEOUT = 700;
 
+  /** The least that the disk gets for that, ms: a call is not known to have come as early. */
+  private static final double MIN_STORE_TIMEOUT = 50;
+
   private final RequestCoordinator node;
   private final HttpFrontend front;
   private final UpgradePeers upgradePeers;
   private final OperatorState state;
+  private final ArrivalClock arrivals;
+  private final Clock clock;
   private final Timers timers;
   private final RateLimitedLog log;
   private final MetricsPage metrics;
@@ -41,6 +48,7 @@
       UpgradePeers upgradePeers,
       List<String> classes,
       OperatorState state,
+      ArrivalClock arrivals,
       LoopMonitor loopMonitor,
       ForcedCloses operatorCloses,
       IntSupplier reloadsOk,
@@ -51,17 +59,24 @@
     return closes;
   }
 
-  public OperatorCalls(Parts parts, Timers timers, RateLimitedLog log) {
+  public OperatorCalls(Parts parts, Clock clock, Timers timers, RateLimitedLog log) {
     this.node = parts.node();
     this.front = parts.front();
     this.upgradePeers = parts.upgradePeers();
     this.state = parts.state();
     this.closes = parts.operatorCloses();
     this.metrics = new MetricsPage(parts);
+    this.arrivals = parts.arrivals();
+    this.clock = clock;
     this.timers = timers;
     this.log = log;
   }
 
+  /** Since when calls that are read now may have lain on this machine. */
+  ArrivalClock arrivals() {
+    return arrivals;
+  }
+
   boolean ready() {
     refresh();
     return node.ready() && !front.draining() && (state == null || state.complete());
@@ -146,10 +161,13 @@
   }
 
   /**
-   * Takes a worker out, or back; {@code answer} gets the outcome after {@link #STORE_TIMEOUT} at
-   * most. A change that is stored later is reported then; only the first outcome counts.
+   * Takes a worker out, or back; {@code answer} gets the outcome, {@link #STORE_TIMEOUT} after
+   * {@code arrived} if it is not stored by then. A change that is stored later is reported then;
+   * only the first outcome counts.
+   *
+   * @param arrived the earliest time at which the call may have come, ms on the clock
    */
-  void maintain(String worker, boolean out, Consumer<MaintenanceOutcome> answer) {
+  void maintain(String worker, boolean out, double arrived, Consumer<MaintenanceOutcome> answer) {
     refresh();
     boolean known = out ? node.startMaintenance(worker) : node.endMaintenance(worker);
     if (!known) {
@@ -162,8 +180,9 @@
       answer.accept(MaintenanceOutcome.STORED);
       return;
     }
+    double left = Math.max(MIN_STORE_TIMEOUT, arrived + STORE_TIMEOUT - clock.now());
     Timers.Timer timeout =
-        timers.after(STORE_TIMEOUT, () -> answer.accept(MaintenanceOutcome.NOT_STORED_YET));
+        timers.after(left, () -> answer.accept(MaintenanceOutcome.NOT_STORED_YET));
     state.storeMaintenance(
         worker,
         () -> {
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -398,6 +398,7 @@
             upgradePeers,
             classes,
             sharedState,
+            arrivals,
             loopMonitor,
             new ForcedCloses("operators", loopMonitor, log),
             () -> reloadsOk,
--- a/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
+++ b/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
@@ -49,7 +49,7 @@
     this.folder = folder;
     this.clock = clock;
     this.timers = timers;
-    this.admin = new Admin(new OperatorCalls(parts, timers, log), clock, timers, loop);
+    this.admin = new Admin(new OperatorCalls(parts, clock, timers, log), clock, timers, loop);
   }
 
   /** Begins to listen at {@code at}. */
--- a/node/src/test/java/ferngrade/server/LateReadTest.java
+++ b/node/src/test/java/ferngrade/server/LateReadTest.java
@@ -9,8 +9,12 @@
 import ferngrade.http.ArrivalClock;
 import ferngrade.http.RawHttp;
 import ferngrade.node.RateLimitedLog;
+import ferngrade.transport.ChannelProvider;
 import io.netty.channel.SelectStrategy;
+import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -31,22 +35,31 @@
   private volatile double now;
   private volatile CountDownLatch held;
   private volatile CountDownLatch release;
+  private volatile CountDownLatch maintenance;
+  private Path folder;
   private NodeServer node;
 
   @BeforeMethod
   public void start() throws Exception {
     now = 1000;
     jobs.clear();
+    maintenance = new CountDownLatch(1);
+    folder = Files.createTempDirectory("late");
     String config =
-        "{'name':'n0','listen':'127.0.0.1:0','discovery':'127.0.0.1:1','seed':'7','limits':{'sockets':64},"
+        "{'name':'n0','listen':'127.0.0.1:0','admin':'127.0.0.1:0','discovery':'127.0.0.1:1',"
+            + "'seed':'7','limits':{'sockets':64},"
+            + "'known':{'revision':1,'complete':true,'members':[{'id':'s-1','host_port':'127.0.0.1:1',"
+            + "'locality':'z','flavor':'k','phase':'active','size':1,'up_since_ms':0}]},"
             + "'settings':{'Zones':['z'],'Kinds':['k'],'Tenants':[{'Name':'t','Share':1}],"
             + "'Classes':[{'Name':'order','Effect':'at_most_once','Deadline':9000.0}]}}";
     node =
         NodeServer.start(
             NodeConfig.read(Json.parse(config.replace('\'', '"')).asObject()),
+            new NodeServer.Platform(null, folder),
             () -> now,
             new RateLimitedLog(() -> now, this::log),
-            (told, at, actions) -> refusing(actions));
+            (told, at, actions) -> refusing(actions),
+            ChannelProvider.SOCKETS);
   }
 
   /** Lets time pass on the clock; the test and the loop may both do so. */
@@ -56,6 +69,7 @@
 
   @AfterMethod(alwaysRun = true)
   public void end() throws Exception {
+    Files.createDirectories(folder);
     node.stop(0);
   }
 
@@ -76,6 +90,9 @@
 
   /** Runs on the loop: the line "hold" keeps it busy until the story lets it go. */
   private void log(String line) {
+    if (line.endsWith("taken out by operators")) {
+      maintenance.countDown();
+    }
     if (line.equals("hold")) {
       held.countDown();
       try {
@@ -127,6 +144,30 @@
     }
   }
 
+  /** Fails where the wait for the disk begins when a late call is read: its caller has gone. */
+  @Test
+  public void operatorsCallThatIsReadLateIsAnsweredWithinTheSecondOfItsCaller() throws Exception {
+    while (!call("GET /-/metrics").read().body().contains("menu_workers_known=1\n")) {
+      Thread.onSpinWait();
+    }
+    Files.delete(folder);
+    hold();
+    try (RawHttp caller = call("POST /-/menu-workers/s-1/disable")) {
+      advance(BUSY);
+      release.countDown();
+      maintenance.await();
+      // Behind the turn that has handled the call.
+      hold();
+      advance(100);
+      release.countDown();
+      assertEquals(caller.read().status(), 503);
+    }
+  }
+
+  private RawHttp call(String line) throws IOException {
+    return RawHttp.to(node.adminAddress()).write(line + " HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+  }
+
   @Test
   public void aLoopThatWaitedTakesNoTimeFromTheRequestThatWakesIt() throws Exception {
     ArrivalClock arrivals = new ArrivalClock(() -> now);
