Append records apart from syncs, and let a process end once all can be read

Appends and syncs of the shared log, and those of the maintenance and address files, ran on one thread: behind a slow sync a call's record stayed unread by the other processes, and a process whose last wait of 45 ms ran out took it along. Appends have a thread of their own; FileOperations.append returns the file to sync. The last wait is for the appends. A yes still waits for the sync; one that fails has all that is not on the disk appended anew, in order.

--- a/node/src/main/java/ferngrade/node/FileOperations.java
+++ b/node/src/main/java/ferngrade/node/FileOperations.java
@@ -36,10 +36,10 @@
 
   /**
    * Appends all of these bytes to a file by one write, which does not mix with those of other
-   * processes; creates the file where there is none. Returns once they are on the disk. After an
-   * error some of them may be in the file.
+   * processes; creates the file where there is none. Returns once other processes can read them; a
+   * sync of what it returns puts them on the disk. After an error some of them may be in the file.
    */
-  void append(Path file, ByteBuffer bytes) throws IOException;
+  SyncableFile append(Path file, ByteBuffer bytes) throws IOException;
 
   /**
    * Opens a file to read what others append to it; a {@link java.nio.file.NoSuchFileException} says
@@ -59,13 +59,16 @@
     boolean isAt(Path file) throws IOException;
   }
 
+  /** A file that was written to. */
+  interface SyncableFile extends Closeable {
+    /** Returns once all that was written is on the disk. */
+    void sync() throws IOException;
+  }
+
   /** A file that is being written. */
-  interface OutputFile extends Closeable {
+  interface OutputFile extends SyncableFile {
     /** Writes some or all of the remaining bytes, and moves the buffer's position on by them. */
     void write(ByteBuffer bytes) throws IOException;
-
-    /** Returns once all that was written is on the disk. */
-    void sync() throws IOException;
   }
 
   /** The real operations. */
@@ -81,22 +84,25 @@
     public OutputFile create(Path file) throws IOException {
       FileChannel channel =
           FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
-      return new OutputFile() {
-        @Override
-        public void write(ByteBuffer bytes) throws IOException {
-          channel.write(bytes);
-        }
+      return new ChannelFile(channel);
+    }
 
-        @Override
-        public void sync() throws IOException {
-          channel.force(true);
-        }
+    /** A channel that is written to. */
+    private record ChannelFile(FileChannel channel) implements OutputFile {
+      @Override
+      public void write(ByteBuffer bytes) throws IOException {
+        channel.write(bytes);
+      }
 
-        @Override
-        public void close() throws IOException {
-          channel.close();
-        }
-      };
+      @Override
+      public void sync() throws IOException {
+        channel.force(true);
+      }
+
+      @Override
+      public void close() throws IOException {
+        channel.close();
+      }
     }
 
     @Override
@@ -110,14 +116,18 @@
     }
 
     @Override
-    public void append(Path file, ByteBuffer bytes) throws IOException {
-      try (FileChannel channel =
-          FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
+    public SyncableFile append(Path file, ByteBuffer bytes) throws IOException {
+      FileChannel channel =
+          FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+      try {
         int length = bytes.remaining();
         if (channel.write(bytes) < length) {
           throw new IOException("only a part could be appended to " + file);
         }
-        channel.force(true);
+        return new ChannelFile(channel);
+      } catch (IOException | RuntimeException failure) {
+        channel.close();
+        throw failure;
       }
     }
 
--- a/node/src/main/java/ferngrade/node/SharedLog.java
+++ b/node/src/main/java/ferngrade/node/SharedLog.java
@@ -1,7 +1,9 @@
 package ferngrade.node;
 
 import ferngrade.node.FileOperations.FollowedFile;
+import ferngrade.node.FileOperations.SyncableFile;
 import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -40,6 +42,7 @@
   private final Path path;
   private final FileOperations files;
   private final TaskScheduler scheduler;
+  private final TaskScheduler appender;
   private final Executor loop;
   private final Consumer<String> log;
   private final BackgroundWriter writer;
@@ -48,9 +51,21 @@
   private final ByteBuffer chunk = ByteBuffer.allocate(CHUNK);
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
 
-  /** Records that are not appended yet; guarded by itself. */
+  /** Records that are not on the disk yet; guarded by itself, as are the three below. */
   private final List<String> pending = new ArrayList<>();
 
+  /** How many of them, from the first on, other processes can read. */
+  private int appended;
+
+  /** The files as the appends of these left them; each is synced and closed. */
+  private List<SyncableFile> unsynced = new ArrayList<>();
+
+  /** What runs once all of them can be read by other processes. */
+  private List<Runnable> waiting = new ArrayList<>();
+
+  /** Held while records are appended, so that they keep their order. */
+  private final Object appending = new Object();
+
   /** The file that is followed; null while it could not be opened. Set by the loop only. */
   private volatile FollowedFile followed;
 
@@ -69,7 +84,8 @@
   /**
    * The log at {@code path}, whose folder must exist.
    *
-   * @param scheduler runs writes and checks, apart from the loop
+   * @param scheduler runs writes and checks, apart from the loop; it waits for the disk
+   * @param appender runs appends, and never waits for a sync
    * @param loop runs tasks on the event loop
    * @param log gets a line when something fails, on any thread
    * @param records gets each record, on the event loop, those of this process included
@@ -80,6 +96,7 @@
       Path path,
       FileOperations files,
       TaskScheduler scheduler,
+      TaskScheduler appender,
       Executor loop,
       Consumer<String> log,
       Consumer<String> records,
@@ -87,12 +104,13 @@
     this.path = path;
     this.files = files;
     this.scheduler = scheduler;
+    this.appender = appender;
     this.loop = loop;
     this.log = log;
     this.records = records;
     this.replaced = replaced;
     this.writer =
-        new BackgroundWriter(path.getFileName().toString(), scheduler, log, this::appendPending);
+        new BackgroundWriter(path.getFileName().toString(), scheduler, log, this::storePending);
   }
 
   /**
@@ -127,7 +145,9 @@
       if (!create) {
         throw none;
       }
-      files.append(path, ByteBuffer.wrap(new byte[] {'\n'}));
+      try (SyncableFile created = files.append(path, ByteBuffer.wrap(new byte[] {'\n'}))) {
+        created.sync();
+      }
       return files.follow(path);
     }
   }
@@ -160,11 +180,11 @@
     replaced.run();
   }
 
-  private static void close(FollowedFile file) {
+  private static void close(Closeable file) {
     try {
       file.close();
     } catch (IOException unclosed) {
-      // Nothing is read from it any more.
+      // Nothing is read from it any more, and what was written is synced or appended anew.
     }
   }
 
@@ -224,46 +244,110 @@
 
   /**
    * Appends a record, a line without line feeds, in the background. {@code durable} runs on the
-   * scheduler's thread once it is on the disk; until then attempts go on. Any thread may call this.
+   * scheduler's thread once it is on the disk; until then attempts go on. Other processes can read
+   * it before that, also while the disk is busy with earlier ones. Any thread may call this.
    */
   public void append(String record, Runnable durable) {
     synchronized (pending) {
       pending.add(record);
     }
+    appender.schedule(this::appendEarly, 0);
     writer.request(durable);
   }
 
-  /** Runs a task, on any thread, once all that was appended so far is on the disk. */
-  public void whenStored(Runnable task) {
+  /** Runs a task, on any thread, once other processes can read all that was appended so far. */
+  public void whenAppended(Runnable task) {
     synchronized (pending) {
-      if (!pending.isEmpty()) {
-        writer.request(task);
+      if (appended < pending.size()) {
+        waiting.add(task);
         return;
       }
     }
     task.run();
   }
 
-  private void appendPending() throws IOException {
-    List<String> batch;
+  private void appendEarly() {
+    try {
+      appendPending();
+    } catch (IOException | RuntimeException failure) {
+      // The writer appends it, with retries, and logs what fails.
+    }
+  }
+
+  /** Appends what is pending and puts it on the disk; where that fails, it is appended anew. */
+  private void storePending() throws IOException {
+    appendPending();
+    List<SyncableFile> written;
+    int count;
     synchronized (pending) {
-      batch = List.copyOf(pending);
+      written = unsynced;
+      unsynced = new ArrayList<>();
+      count = appended;
     }
-    if (batch.isEmpty()) {
-      return;
+    try {
+      for (SyncableFile file : written) {
+        file.sync();
+      }
+      if (!nameSynced && count > 0) {
+        files.syncFolder(path.getParent());
+        nameSynced = true;
+      }
+    } catch (IOException | RuntimeException failure) {
+      appendAnew();
+      throw failure;
+    } finally {
+      written.forEach(SharedLog::close);
+    }
+    synchronized (pending) {
+      pending.subList(0, count).clear();
+      appended -= count;
     }
+  }
+
+  private void appendAnew() {
+    synchronized (appending) {
+      synchronized (pending) {
+        appended = 0;
+      }
+    }
+  }
+
+  private void appendPending() throws IOException {
+    synchronized (appending) {
+      List<String> batch;
+      synchronized (pending) {
+        batch = List.copyOf(pending.subList(appended, pending.size()));
+      }
+      if (!batch.isEmpty()) {
+        append(batch);
+      }
+    }
+    appendedAll().forEach(Runnable::run);
+  }
+
+  /** Takes what waits for the appends, if there is none left to do. */
+  private List<Runnable> appendedAll() {
+    synchronized (pending) {
+      if (appended < pending.size()) {
+        return List.of();
+      }
+      List<Runnable> ready = waiting;
+      waiting = new ArrayList<>();
+      return ready;
+    }
+  }
+
+  private void append(List<String> batch) throws IOException {
     StringBuilder text = new StringBuilder("\n");
     for (String record : batch) {
       text.append(checksum(record)).append(' ').append(record).append('\n');
     }
     // A batch of which the disk took a part only is appended whole again: records may repeat.
-    files.append(path, ByteBuffer.wrap(text.toString().getBytes(StandardCharsets.UTF_8)));
-    if (!nameSynced) {
-      files.syncFolder(path.getParent());
-      nameSynced = true;
-    }
+    SyncableFile written =
+        files.append(path, ByteBuffer.wrap(text.toString().getBytes(StandardCharsets.UTF_8)));
     synchronized (pending) {
-      pending.subList(0, batch.size()).clear();
+      unsynced.add(written);
+      appended += batch.size();
     }
   }
 
--- a/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
+++ b/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
@@ -19,7 +19,8 @@
  */
 final class OperatorsEndpoint {
   /**
-   * How long a process that ends waits for the disk, ms: it must not outlast its budget for that.
+   * How long a process that ends waits for its calls and appends, ms: it must not outlast its
+   * budget for that.
    */
   private static final double MAX_LAST_STORE = 45;
 
@@ -85,15 +86,15 @@
    */
   void finish(double end, Runnable done) {
     Runnable once = new CountDown(1, done);
-    admin.finish(this::whenStored, once);
+    admin.finish(this::whenAppended, once);
     timers.after(Math.max(0, end - clock.now()) + MAX_LAST_STORE, once);
   }
 
-  private void whenStored(Runnable task) {
+  private void whenAppended(Runnable task) {
     if (sharedState == null) {
       task.run();
     } else {
-      sharedState.whenStored(task);
+      sharedState.whenAppended(task);
     }
   }
 }
--- a/node/src/main/java/ferngrade/server/SharedState.java
+++ b/node/src/main/java/ferngrade/server/SharedState.java
@@ -297,9 +297,9 @@
     shared.append(SharedRecordCodec.write(record), () -> {});
   }
 
-  /** Runs a task on the event loop once all that was appended is on the disk. */
-  void whenStored(Runnable task) {
-    shared.whenStored(() -> loop.execute(task));
+  /** Runs a task on the event loop once other processes can read all that was appended. */
+  void whenAppended(Runnable task) {
+    shared.whenAppended(() -> loop.execute(task));
   }
 
   private void append(SharedRecord record, Runnable stored) {
--- a/node/src/main/java/ferngrade/server/StateFolder.java
+++ b/node/src/main/java/ferngrade/server/StateFolder.java
@@ -29,6 +29,7 @@
   private final Path folder;
   private final FileOperations files;
   private final TaskScheduler writer;
+  private final TaskScheduler appender;
   private final RateLimitedLog log;
   private final Consumer<String> report;
   private final AtomicFile maintenance;
@@ -41,6 +42,7 @@
     this.log = log;
     this.report = report;
     this.writer = TaskScheduler.onDaemonThread("state-file");
+    this.appender = TaskScheduler.onDaemonThread("shared-log");
     this.maintenance = new AtomicFile(folder.resolve(MAINTENANCE_FILE), files, writer, report);
     this.adminAddress = new AtomicFile(folder.resolve(ADMIN_ADDRESS_FILE), files, writer, report);
   }
@@ -53,7 +55,7 @@
   /** The log that all processes of the node share; see {@link SharedLog} for the parameters. */
   SharedLog sharedLog(Executor loop, Consumer<String> records, Runnable replaced) {
     return new SharedLog(
-        folder.resolve(SHARED_LOG_FILE), files, writer, loop, report, records, replaced);
+        folder.resolve(SHARED_LOG_FILE), files, writer, appender, loop, report, records, replaced);
   }
 
   /** Runs what must not run on the event loop. */
--- a/node/src/test/java/ferngrade/server/AdminIntegrationTest.java
+++ b/node/src/test/java/ferngrade/server/AdminIntegrationTest.java
@@ -29,6 +29,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Semaphore;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -258,6 +259,22 @@
     assertEquals(call(node, "POST /-/menu-workers/s-1/enable").status(), 200);
   }
 
+  /** Fails where a call that got its yes is lost with its process because the disk hangs. */
+  @Test
+  public void processThatEndsHasAppendedWhatItWasToldThoughTheDiskHangs() throws Exception {
+    FaultInjectingFileOperations files = new FaultInjectingFileOperations();
+    NodeServer node = start(new NodeServer.Platform(null, Path.of("/state"), files));
+    Semaphore disk = new Semaphore(0);
+    files.fail(Operation.SYNC, disk::acquireUninterruptibly);
+    assertEquals(call(node, "POST /-/drain").status(), 200);
+    assertEquals(call(node, "POST /-/resume").status(), 200);
+    node.stop(0);
+    String log =
+        new String(files.read(Path.of("/state/ferngrade-shared.log")), StandardCharsets.UTF_8);
+    disk.release(Integer.MAX_VALUE);
+    assertEquals(log.lines().filter(line -> line.contains("drain")).count(), 2, log);
+  }
+
   @Test
   public void diskThatFailsForAMomentIsNoReasonForANo() throws Exception {
     FaultInjectingFileOperations files = new FaultInjectingFileOperations();
