Read what lies on an attempt's connection before it is given up for lack of a 202

The loop reads before it runs timers, but the acceptance timer also runs in a turn that was held up behind its reads. A 202, or a rejection, that came meanwhile was overlooked: the job was deleted at a worker that had taken it, and sent to another.

--- a/node/src/main/java/ferngrade/http/AttemptExchange.java
+++ b/node/src/main/java/ferngrade/http/AttemptExchange.java
@@ -67,6 +67,13 @@
     return delayedLocally;
   }
 
+  @Override
+  public void readPending() {
+    if (connection != null) {
+      connection.readPending();
+    }
+  }
+
   @Override
   FullHttpRequest request() {
     if (stage == Stage.ENDED) {
--- a/node/src/main/java/ferngrade/http/WorkerConnection.java
+++ b/node/src/main/java/ferngrade/http/WorkerConnection.java
@@ -1,11 +1,13 @@
 package ferngrade.http;
 
 import ferngrade.transport.FaultOrigin;
+import ferngrade.transport.PendingReads;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -142,6 +144,11 @@
     ctx.close();
   }
 
+  /** Reads at once what has come and the event loop has not come to read. */
+  void readPending() {
+    PendingReads.read((AbstractNioChannel) context.channel());
+  }
+
   /** Ends the connection from this side. */
   void close() {
     endedHere = true;
--- a/node/src/main/java/ferngrade/node/Attempt.java
+++ b/node/src/main/java/ferngrade/node/Attempt.java
@@ -16,6 +16,10 @@
   Timers.Timer timeout;
   Timers.Timer acceptance;
   boolean written;
+
+  /** Its end has been reported and is handed over in the next turn. */
+  boolean endReported;
+
   boolean ended;
 
   /** When it was written whole, accepted and ended, ms on the clock; NaN before that. */
@@ -70,6 +74,11 @@
     return !ended || calledBack || doubtful;
   }
 
+  /** The worker has accepted the job, or has answered otherwise. */
+  boolean answered() {
+    return !Double.isNaN(acceptedAt) || endReported || ended;
+  }
+
   /** Written and not ended: what a callback can be about. */
   boolean running() {
     return written && !ended;
--- a/node/src/main/java/ferngrade/node/AttemptRunner.java
+++ b/node/src/main/java/ferngrade/node/AttemptRunner.java
@@ -132,7 +132,7 @@
   private void notAccepted(Attempt attempt) {
     if (!attempt.ended && !attempt.written && attempt.sending.delayedLocally()) {
       attempt.acceptance = timers.after(ACCEPTANCE_TIMEOUT, () -> notAccepted(attempt));
-    } else if (!attempt.ended && !attempt.calledBack) {
+    } else if (!answeredAfterReading(attempt) && !attempt.calledBack) {
       attempt.sending.giveUp(
           () ->
               turns.event(
@@ -146,6 +146,14 @@
     }
   }
 
+  /** A loop that was held up has this timer run out before it reads what has come meanwhile. */
+  private static boolean answeredAfterReading(Attempt attempt) {
+    if (!attempt.answered()) {
+      attempt.sending.readPending();
+    }
+    return attempt.answered();
+  }
+
   /** Ends an attempt and reports that; does nothing for one that has ended. */
   void end(Attempt attempt, AttemptOutcome outcome, LoadReport report) {
     if (!attempt.ended) {
@@ -194,6 +202,7 @@
 
     @Override
     public void ended(AttemptOutcome outcome, LoadReport report) {
+      attempt.endReported = true;
       turns.event(() -> end(attempt, outcome, report));
     }
   }
--- a/node/src/main/java/ferngrade/node/WorkerTransport.java
+++ b/node/src/main/java/ferngrade/node/WorkerTransport.java
@@ -24,6 +24,9 @@
      */
     void giveUp(Runnable whenNotified);
 
+    /** Reads what the worker has sent and the event loop has not come to read. */
+    default void readPending() {}
+
     /**
      * True if it has waited for what this machine lacks, so that it was late by no fault of the
      * worker.
--- a/node/src/test/java/ferngrade/http/WorkerClientTest.java
+++ b/node/src/test/java/ferngrade/http/WorkerClientTest.java
@@ -163,6 +163,23 @@
     assertEquals(told.take(), "RESET");
   }
 
+  /** Fails where an attempt cannot see the 202 that the loop has not come to read. */
+  @Test
+  public void pendingReadTakesThe202ThatLiesInTheSocket() throws Exception {
+    WorkerTransport.AttemptHandle sending = send("a");
+    RawHttp first = new RawHttp(worker.accept());
+    first.read();
+    int idle =
+        loop.submit(
+                () -> {
+                  first.write(TAKEN);
+                  sending.readPending();
+                  return pool.idle();
+                })
+            .get();
+    assertEquals(idle, 1);
+  }
+
   @Test
   public void connectThatIsNotAnsweredRunsOutAndNothingWasWritten() throws Exception {
     // A machine that has vanished: the queue of the listener is full, so that connects hang
--- a/node/src/test/java/ferngrade/node/RequestCoordinatorTest.java
+++ b/node/src/test/java/ferngrade/node/RequestCoordinatorTest.java
@@ -31,6 +31,7 @@
   private final List<String> log = new ArrayList<>();
   private final List<WorkerTransport.Listener> sent = new ArrayList<>();
   private final Deque<Runnable> tasks = new ArrayDeque<>();
+  private Runnable unread = () -> {};
   private double now;
   private Timers timers;
   private Actions actions;
@@ -40,6 +41,7 @@
   public void start() {
     List.of(heard, answers, given, sent, log).forEach(List::clear);
     tasks.clear();
+    unread = () -> {};
     now = 1000;
     Clock clock = () -> now;
     timers = new Timers(clock, (millis, run) -> {});
@@ -212,6 +214,23 @@
     assertEquals(heard.subList(2, heard.size()), List.of("ended hangs/0 TIMEOUT"));
   }
 
+  /** Fails where an answer that came while the loop was held up is not looked at. */
+  @Test
+  public void jobIsNotGivenUpWhileItsWorkersAnswerLiesUnread() {
+    for (String id : List.of("taken", "rejected")) {
+      request(id, 21_000);
+      send(id, 1);
+      sent.get(sent.size() - 1).written();
+      now += 1;
+    }
+    unread = () -> sent.get(0).taken();
+    pass(998);
+    unread = () -> sent.get(1).ended(AttemptOutcome.FULL, LoadReport.NONE);
+    pass(1);
+    assertEquals(given, List.of());
+    assertEquals(heard.subList(2, heard.size()), List.of("ended rejected/0 FULL"));
+  }
+
   @Test
   public void jobThatWasCalledBackAboutCountsAsTakenWithoutTheWorkersWord() {
     request("a", 21_000);
@@ -441,9 +460,17 @@
     public AttemptHandle send(
         JobRequest call, InetSocketAddress worker, double patience, Listener listener) {
       sent.add(listener);
-      return told -> {
-        given.add(call.id());
-        told.run();
+      return new AttemptHandle() {
+        @Override
+        public void giveUp(Runnable whenNotified) {
+          given.add(call.id());
+          whenNotified.run();
+        }
+
+        @Override
+        public void readPending() {
+          unread.run();
+        }
       };
     }
 
