Read what lies there before a health check or an attempt's own timeout runs out

As with the acceptance timeout: in a turn held up behind its reads the timer runs beside the answer. A worker that had answered its check in time counted as one that does not answer, and a rejection, after which a retry is harmless, as a timeout that may have run.

--- a/node/src/main/java/ferngrade/http/HealthCheckExchange.java
+++ b/node/src/main/java/ferngrade/http/HealthCheckExchange.java
@@ -73,6 +73,10 @@
   }
 
   private void timedOut() {
+    if (connection != null) {
+      // A loop that was held up comes here before it reads the answer.
+      connection.readPending();
+    }
     finish(delayedLocally ? AttemptOutcome.NEVER_SENT : AttemptOutcome.TIMEOUT, LoadReport.NONE);
   }
 
--- a/node/src/main/java/ferngrade/node/AttemptRunner.java
+++ b/node/src/main/java/ferngrade/node/AttemptRunner.java
@@ -76,9 +76,7 @@
       return;
     }
     double limit = timeout > 0 ? Math.min(timeout, left) : left;
-    attempt.timeout =
-        timers.after(
-            limit, () -> giveUp(attempt, AttemptOutcome.TIMEOUT, AttemptOutcome.CONNECT_FAILED));
+    attempt.timeout = timers.after(limit, () -> timedOut(attempt));
     attempt.acceptance = timers.after(ACCEPTANCE_TIMEOUT, () -> notAccepted(attempt));
     attempt.sending =
         transport.send(request.call, endpoint.address(), limit, new ProgressListener(attempt));
@@ -100,6 +98,15 @@
     return false;
   }
 
+  private void timedOut(Attempt attempt) {
+    if (!attempt.ended) {
+      attempt.sending.readPending();
+    }
+    if (!attempt.endReported) {
+      giveUp(attempt, AttemptOutcome.TIMEOUT, AttemptOutcome.CONNECT_FAILED);
+    }
+  }
+
   /** Cancels an attempt in the next turn, if it has not ended by then. */
   void cancel(Attempt attempt) {
     giveUp(attempt, AttemptOutcome.CANCELLED, AttemptOutcome.NEVER_SENT);
--- a/node/src/test/java/ferngrade/http/WorkerClientTest.java
+++ b/node/src/test/java/ferngrade/http/WorkerClientTest.java
@@ -180,6 +180,25 @@
     assertEquals(idle, 1);
   }
 
+  /** Fails where a check runs out beside an answer that the loop has not come to read. */
+  @Test
+  public void checkWhoseAnswerLiesInTheSocketDoesNotRunOut() throws Exception {
+    InetSocketAddress address =
+        new InetSocketAddress(worker.getInetAddress(), worker.getLocalPort());
+    loop.submit(() -> client.check(address, (outcome, report) -> told.add(outcome.name()))).get();
+    RawHttp first = new RawHttp(worker.accept());
+    first.read();
+    loop.submit(
+            () -> {
+              first.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+              advance(1000);
+              timers.run();
+              return null;
+            })
+        .get();
+    assertEquals(told.take(), "OK");
+  }
+
   @Test
   public void connectThatIsNotAnsweredRunsOutAndNothingWasWritten() throws Exception {
     // A machine that has vanished: the queue of the listener is full, so that connects hang
--- a/node/src/test/java/ferngrade/node/RequestCoordinatorTest.java
+++ b/node/src/test/java/ferngrade/node/RequestCoordinatorTest.java
@@ -231,6 +231,16 @@
     assertEquals(heard.subList(2, heard.size()), List.of("ended rejected/0 FULL"));
   }
 
+  /** Fails where an attempt's timeout overlooks a rejection, after which a retry is harmless. */
+  @Test
+  public void attemptDoesNotTimeOutWhileItsWorkersAnswerLiesUnread() {
+    out("a", 1);
+    unread = () -> sent.get(0).ended(AttemptOutcome.FULL, LoadReport.NONE);
+    pass(100);
+    assertEquals(given, List.of());
+    assertEquals(heard, List.of("arrived a", "ended a/0 FULL"));
+  }
+
   @Test
   public void jobThatWasCalledBackAboutCountsAsTakenWithoutTheWorkersWord() {
     request("a", 21_000);
