Free the place of a connection that its peer has closed before any other gives way

Callers: an idle client's connection, or one whose answer was still to be read, was closed though its place was free. Cause: the table reads what is unread before it has a connection give way; one that its peer has closed is closed by that read, but Netty tells of it at the end of the turn only. Until then it counted as open, and a live connection gave way for it. Change: a read that finds the peer gone takes the connection out of the table at once. Why: One live connection must not give way to another that is already gone.

--- a/node/src/main/java/ferngrade/http/ConnectionTable.java
+++ b/node/src/main/java/ferngrade/http/ConnectionTable.java
@@ -194,9 +194,7 @@
   private void review() {
     reviewScheduled = false;
     if (limitReached()) {
-      awaiting(each -> each.state() == ConnectionState.UNREAD)
-          .toList()
-          .forEach(ManagedConnection::readPending);
+      awaiting(each -> each.state() == ConnectionState.UNREAD).toList().forEach(this::read);
       enforceLimits();
     }
     acceptSwitch.places(places());
@@ -292,11 +290,21 @@
   private boolean stillWaits(C connection) {
     ConnectionState before = connection.state();
     return open.contains(connection)
-        && connection.readPending()
+        && read(connection)
         && connection.state() == before
         && (awaited.containsKey(connection) || idle.contains(connection));
   }
 
+  /** Reads what waits on the connection; false if its peer has closed it: its place is free. */
+  private boolean read(C connection) {
+    boolean present = connection.readPending();
+    if (!present) {
+      // Netty tells of the close at the end of the turn only; others would give way until then.
+      closed(connection);
+    }
+    return present;
+  }
+
   private void sweep() {
     double limit = clock.now() - timeout;
     List<C> late = new ArrayList<>();
--- a/node/src/test/java/ferngrade/http/ConnectionTableTest.java
+++ b/node/src/test/java/ferngrade/http/ConnectionTableTest.java
@@ -32,6 +32,7 @@
     private ConnectionState state = ConnectionState.UNREAD;
     private boolean trusted;
     private boolean requestUnread;
+    private boolean peerClosed;
     private boolean closed;
 
     @Override
@@ -46,6 +47,12 @@
 
     @Override
     public boolean readPending() {
+      if (peerClosed) {
+        // As with Netty, the table is told at the end of the turn.
+        state = ConnectionState.RESTING;
+        endOfTurn.add(() -> table.closed(this));
+        return false;
+      }
       if (requestUnread) {
         requestUnread = false;
         state = ConnectionState.BUSY;
@@ -198,6 +205,19 @@
     assertTrue(silent.closed);
   }
 
+  /** Fails where connections that are gone hold their places until the end of the turn. */
+  @Test
+  public void connectionsWhosePeersAreGoneFreeTheirPlacesBeforeOthersGiveWay() {
+    Connection idle = openIdle();
+    Connection closing = open(1, false).get(0);
+    closing.state = ConnectionState.CLOSING;
+    List<Connection> gone = open(PLACES - 2, false);
+    gone.forEach(each -> each.peerClosed = true);
+    endTurn();
+    assertFalse(idle.closed);
+    assertFalse(closing.closed);
+  }
+
   /** Fails where more are accepted than there are places: the rest must wait in the backlog. */
   @Test
   public void noMoreAreAcceptedThanThereArePlaces() {
--- a/node/src/test/java/ferngrade/server/UnreadConnectionsTest.java
+++ b/node/src/test/java/ferngrade/server/UnreadConnectionsTest.java
@@ -6,6 +6,7 @@
 import ferngrade.http.RawHttp;
 import ferngrade.node.FaultInjectingFileOperations;
 import ferngrade.node.FaultInjectingFileOperations.Operation;
+import ferngrade.transport.PendingReads;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -226,6 +227,27 @@
     assertEquals(outcome(ready), YES);
   }
 
+  /** Fails where the place of a connection that its peer has closed is taken from a live one. */
+  @Test
+  public void connectionsThatTheirPeersHaveClosedGiveWayBeforeAnIdleOne() throws Exception {
+    start(64);
+    settled();
+    RawHttp idle = connect(node.address(), request("idle"));
+    assertEquals(outcome(idle), REFUSED);
+    int others = ConnectionLimits.within(64, MEMORY_MB).clients() - PendingReads.MAX_ACCEPTS;
+    for (int i = 0; i < others; i++) {
+      assertEquals(outcome(connect(node.address(), request("other" + i))), REFUSED);
+    }
+    hold();
+    for (int i = 0; i < PendingReads.MAX_ACCEPTS; i++) {
+      RawHttp.to(node.address()).close();
+    }
+    release.countDown();
+    settled();
+    idle.write(request("next"));
+    assertEquals(outcome(idle), REFUSED);
+  }
+
   /** Fails where a process that ends resets the connections for which it has no place at once. */
   @Test
   public void requestsBeyondThePlacesThatWaitAtTheEndAreRejected() throws Exception {
