Take a callback of a process that has ended where no other process runs

All jobs were served; the worker's calls were in vain. Cause: with no other process known a relay ended as UNANSWERED, whether one may run or not. Change: where the shared log, read just then, names no process that runs, the relay ends as ENDED and the callback is answered 204, as a node with a socket of its own does. It stays 503 while a process may run that does not answer, while the log cannot be read, and for good once a process was known by its address only (an earlier release): aCallBackThatCannotBeHandedOnComesAgain holds as it is. Evidence: the new test failed before (expected 204, found 503) and passes now; AdminIntegrationTest, UpgradePeersTest and SharedLogTest pass.

--- a/node/src/main/java/ferngrade/http/ClientRequestHandler.java
+++ b/node/src/main/java/ferngrade/http/ClientRequestHandler.java
@@ -68,7 +68,8 @@
   /**
    * A worker's callback. While processes share the clients' socket, one for a job that this process
    * never had is relayed to the others. Where that fails the response is 503 and a close, so that
-   * the worker's retry comes on a new connection, which another process may accept.
+   * the worker's retry comes on a new connection, which another process may accept. Where no other
+   * process runs, nobody waits for it any more, and the worker need not send it again.
    */
   private void callback(ClientConnection connection, WorkerCallback callback, String body) {
     if (front.upgradePeers() != null && !coordinator.knowsOf(callback.id())) {
--- a/node/src/main/java/ferngrade/http/UpgradePeers.java
+++ b/node/src/main/java/ferngrade/http/UpgradePeers.java
@@ -13,8 +13,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 
@@ -45,6 +47,11 @@
   private final Dialer dialer;
   private final Map<InetSocketAddress, UpgradePeer> peers = new LinkedHashMap<>();
   private final Map<RelayOutcome, Long> relayed = new EnumMap<>(RelayOutcome.class);
+
+  /** Addresses of processes that the log does not name: whether those run is never known. */
+  private final Set<InetSocketAddress> unrecorded = new LinkedHashSet<>();
+
+  private RunningProcesses processes = UNKNOWN_PROCESSES;
   private InetSocketAddress own;
 
   /** What became of a callback that was relayed to the other processes. */
@@ -53,10 +60,33 @@
     TAKEN,
     /** All have answered that they never had it. */
     UNKNOWN,
-    /** No other process is known, or one did not answer. */
+    /** No other process of the node runs: the one that had the job has ended. */
+    ENDED,
+    /** One did not answer, or one may run whose address is not known. */
     UNANSWERED
   }
 
+  /** Knows which processes of the node run, from what they write to the shared log. */
+  public interface RunningProcesses {
+    /** Reads what the log has been appended since it was last read. */
+    void refresh();
+
+    /** False if no process runs beside this one, by a log that has been read whole. */
+    boolean othersMayRun();
+  }
+
+  /** Where no log is shared, another process may always run. */
+  private static final RunningProcesses UNKNOWN_PROCESSES =
+      new RunningProcesses() {
+        @Override
+        public void refresh() {}
+
+        @Override
+        public boolean othersMayRun() {
+          return true;
+        }
+      };
+
   public UpgradePeers(
       EventLoopGroup group, Timers timers, RateLimitedLog log, ChannelProvider channels) {
     this.timers = timers;
@@ -76,14 +106,36 @@
             });
   }
 
+  /** From now on a callback that nobody else can have the job of ends by these. */
+  public void knownBy(RunningProcesses running) {
+    processes = running;
+  }
+
   /** This process takes calls at this address; another that had it before has ended. */
   public void own(InetSocketAddress address) {
     own = address;
+    unrecorded.remove(address);
     forget(address);
   }
 
-  /** Another process takes calls at this address. */
+  /** Another process takes calls at this address; the shared log names it. */
+  public void recorded(InetSocketAddress other) {
+    unrecorded.remove(other);
+    add(other);
+  }
+
+  /** Another process, perhaps of an earlier release, takes calls at this address. */
   public void at(InetSocketAddress other) {
+    if (!other.equals(own) && !peers.containsKey(other)) {
+      unrecorded.add(other);
+      if (unrecorded.size() > MAX_PEERS) {
+        unrecorded.remove(unrecorded.iterator().next());
+      }
+    }
+    add(other);
+  }
+
+  private void add(InetSocketAddress other) {
     if (other.equals(own) || peers.containsKey(other)) {
       return;
     }
@@ -114,6 +166,9 @@
 
   /** Relays a callback; {@code outcome} runs once. */
   void relay(String callback, Consumer<RelayOutcome> outcome) {
+    if (peers.isEmpty()) {
+      processes.refresh();
+    }
     RelayRound round = new RelayRound(peers.size(), outcome);
     callAll("/-/news", callback, RELAY_TIMEOUT, round::answered);
   }
@@ -134,7 +189,8 @@
       this.awaited = awaited;
       this.outcome = outcome;
       if (awaited == 0) {
-        end(RelayOutcome.UNANSWERED);
+        boolean alone = unrecorded.isEmpty() && !processes.othersMayRun();
+        end(alone ? RelayOutcome.ENDED : RelayOutcome.UNANSWERED);
       }
     }
 
--- a/node/src/main/java/ferngrade/node/SharedLog.java
+++ b/node/src/main/java/ferngrade/node/SharedLog.java
@@ -138,6 +138,11 @@
     return complete || followed != null;
   }
 
+  /** True if the last {@link #poll} has passed on all that the log held. */
+  public boolean current() {
+    return followed != null && !readFailed;
+  }
+
   private FollowedFile follow() throws IOException {
     try {
       return files.follow(path);
--- a/node/src/main/java/ferngrade/server/SharedState.java
+++ b/node/src/main/java/ferngrade/server/SharedState.java
@@ -30,7 +30,7 @@
  * the other processes, so that it reaches them while the log cannot be written. Belongs to the
  * event loop.
  */
-final class SharedState implements OperatorState {
+final class SharedState implements OperatorState, UpgradePeers.RunningProcesses {
   /**
    * How long a process whose log cannot be opened is not ready for that, ms; it serves then without
    * what only the log could tell, since a node that never starts is worse.
@@ -105,6 +105,9 @@
     this.processes =
         new LiveProcesses(
             OWN_PID, folder.scheduler(), loop, SharedState::isAlive, parts.processesChanged());
+    if (peers != null) {
+      peers.knownBy(this);
+    }
   }
 
   private static boolean isAlive(long pid) {
@@ -162,6 +165,11 @@
     return processes.othersRun();
   }
 
+  @Override
+  public boolean othersMayRun() {
+    return othersRun() || !shared.current();
+  }
+
   /** This process takes calls at this address from now on; the others get to know. */
   void listening(InetSocketAddress address) {
     ownAddress = address;
@@ -216,7 +224,7 @@
       if (process.first() && earlierDecisions != null) {
         forgetEarlierDecisions();
       }
-      peers.at(process.operators());
+      peers.recorded(process.operators());
       processes.started(process.pid());
     } else if (record instanceof FinishingRecord finishing) {
       processes.finishing(finishing.pid());
--- a/node/src/test/java/ferngrade/server/AdminIntegrationTest.java
+++ b/node/src/test/java/ferngrade/server/AdminIntegrationTest.java
@@ -5,7 +5,9 @@
 import static org.testng.Assert.assertTrue;
 
 import com.eclipsesource.json.Json;
+import ferngrade.config.EndpointListParser;
 import ferngrade.config.NodeConfig;
+import ferngrade.config.SharedRecordCodec;
 import ferngrade.golden.GoldenFile;
 import ferngrade.http.OperatorCalls;
 import ferngrade.http.RawBytes;
@@ -14,6 +16,7 @@
 import ferngrade.node.Clock;
 import ferngrade.node.FaultInjectingFileOperations;
 import ferngrade.node.FaultInjectingFileOperations.Operation;
+import ferngrade.node.ProcessRecord;
 import ferngrade.node.RateLimitedLog;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -196,11 +199,7 @@
   @Test
   public void aCallBackThatCannotBeHandedOnComesAgain() throws Exception {
     Path folder = Files.createTempDirectory("gone");
-    int gone;
-    try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      gone = closed.getLocalPort();
-    }
-    Files.writeString(folder.resolve("ferngrade-admin.txt"), "127.0.0.1:" + gone);
+    Files.writeString(folder.resolve("ferngrade-admin.txt"), "127.0.0.1:" + unused().getPort());
     ServerSocketChannel clients =
         ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     NodeServer node = start(new NodeServer.Platform(clients, folder));
@@ -212,6 +211,34 @@
     }
   }
 
+  /** Fails where a worker is told in vain to send a callback again: its process has ended. */
+  @Test
+  public void callbackIsTakenOnceNoOtherProcessRunsAndNotWhileOneMay() throws Exception {
+    Path folder = Files.createTempDirectory("ended");
+    ServerSocketChannel clients =
+        ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    NodeServer node = start(new NodeServer.Platform(clients, folder));
+    assertEquals(callBack(node.address(), "nobody"), 204);
+    Process other = new ProcessBuilder("cat").start();
+    String record = SharedRecordCodec.write(new ProcessRecord(other.pid(), unused(), false));
+    try (RawHttp caller = RawHttp.to(node.adminAddress())) {
+      caller.write(RawHttp.message("POST /-/state HTTP/1.1", record)).read();
+    }
+    assertEquals(callBack(node.address(), "nobody"), 503, "it refuses the call");
+    assertEquals(callBack(node.address(), "nobody"), 503, "it still runs");
+    other.destroy();
+    while (callBack(node.address(), "nobody") != 204) {
+      Thread.onSpinWait();
+    }
+    assertTrue(call(node, "GET /-/metrics").body().contains("relayed.ended=2\n"));
+  }
+
+  private static InetSocketAddress unused() throws IOException {
+    try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return EndpointListParser.address("127.0.0.1:" + closed.getLocalPort());
+    }
+  }
+
   @Test
   public void aTornFileOfAnEarlierProcessIsLeftAside() throws Exception {
     Path folder = Files.createTempDirectory("torn");
