--- a/node/src/main/java/ferngrade/http/ConnectionTable.java
+++ b/node/src/main/java/ferngrade/http/ConnectionTable.java
@@ -5,13 +5,10 @@
 import ferngrade.node.Timers;
 import ferngrade.transport.PendingReads;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
-import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 /**
@@ -30,12 +27,6 @@
   /** The interval between two checks for connections that take too long, ms. */
   private static final double SWEEP_INTERVAL = 250;
 
-  /**
-   * How long a peer may need between its connect and its first byte, ms, before its connection
-   * gives way to others while there are places left: its machine may be busy, too.
-   */
-  static final double SENDING_GRACE = 500;
-
   /**
    * The share of all places, or one accept's worth of them, which is kept free: with less of them
    * free no silent connection has that grace.
@@ -54,9 +45,7 @@
   private Limits limits;
   private final Set<C> open = new LinkedHashSet<>();
   private final Set<C> idle = new LinkedHashSet<>();
-
-  /** Those that await the rest of a request, or a close, and since when; the oldest comes first. */
-  private final Map<C, Double> awaited = new LinkedHashMap<>();
+  private final AwaitedConnections<C> awaited;
 
   private boolean reviewScheduled;
   private long accepted;
@@ -79,6 +68,7 @@
     this.timeout = timeout;
     this.acceptSwitch = acceptSwitch;
     this.clock = surroundings.clock();
+    this.awaited = new AwaitedConnections<>(clock);
     this.timers = surroundings.timers();
     this.loop = surroundings.loop();
     this.closes = surroundings.closes();
@@ -146,16 +136,15 @@
   /** From now on the connection is awaited; for one that was before, the timeout starts anew. */
   void await(C connection) {
     idle.remove(connection);
-    awaited.remove(connection);
     if (open.contains(connection)) {
-      awaited.put(connection, clock.now());
+      awaited.add(connection);
       reviewLater();
     }
   }
 
   /** The first bytes of a request have arrived. */
   void receiving(C connection) {
-    if (!awaited.containsKey(connection)) {
+    if (!awaited.contains(connection)) {
       await(connection);
     }
     reviewLater();
@@ -194,7 +183,7 @@
   private void review() {
     reviewScheduled = false;
     if (limitReached()) {
-      awaiting(each -> each.state() == ConnectionState.UNREAD).toList().forEach(this::read);
+      awaited.unread().forEach(this::read);
       enforceLimits();
     }
     acceptSwitch.places(places());
@@ -208,22 +197,19 @@
 
   /** Bodies that are on their way take memory: these are bounded at once. */
   private void limitReceiving() {
-    int excess =
-        (int) awaiting(each -> each.state() == ConnectionState.RECEIVING).count()
-            - limits.awaited();
+    int excess = awaited.receiving().size() - limits.awaited();
     if (excess > 0) {
-      giveWay(awaiting(ConnectionTable::receivingUntrusted), excess, Reason.AWAITED_LIMIT);
+      giveWay(awaited.receivingUntrusted().stream(), excess, Reason.AWAITED_LIMIT);
     }
   }
 
   private void limitSilent() {
-    List<C> silent = awaiting(ConnectionTable::silent).toList();
-    int receiving = (int) awaiting(ConnectionTable::receivingUntrusted).count();
-    int excess = silent.size() + receiving - limits.awaited();
+    List<C> silent = awaited.silent();
+    int excess = silent.size() + awaited.receivingUntrusted().size() - limits.awaited();
     if (excess > 0) {
       boolean scarce = places() < Math.min(PendingReads.MAX_ACCEPTS, SCARCE * limits.open());
-      giveWay(
-          silent.stream().filter(each -> scarce || graceOver(each)), excess, Reason.AWAITED_LIMIT);
+      Stream<C> candidates = silent.stream().filter(each -> scarce || awaited.graceOver(each));
+      giveWay(candidates, excess, Reason.AWAITED_LIMIT);
     }
   }
 
@@ -232,33 +218,17 @@
     if (!hasPlace()) {
       Stream<C> candidates =
           Stream.of(
-                  awaiting(each -> silent(each) && graceOver(each)),
-                  awaiting(each -> each.state() == ConnectionState.CLOSING),
-                  awaiting(ConnectionTable::silent),
+                  awaited.silent().stream().filter(awaited::graceOver),
+                  awaited.closing().stream(),
+                  awaited.silent().stream(),
                   idle.stream(),
-                  awaiting(each -> receivingUntrusted(each) && graceOver(each)))
+                  awaited.receivingUntrusted().stream().filter(awaited::graceOver))
               .flatMap(each -> each)
               .distinct();
       giveWay(candidates, 1 - places(), Reason.CONNECTION_LIMIT);
     }
   }
 
-  private Stream<C> awaiting(Predicate<C> condition) {
-    return awaited.keySet().stream().filter(condition);
-  }
-
-  private static boolean silent(ManagedConnection connection) {
-    return connection.state() == ConnectionState.RESTING && !connection.trusted();
-  }
-
-  private static boolean receivingUntrusted(ManagedConnection connection) {
-    return connection.state() == ConnectionState.RECEIVING && !connection.trusted();
-  }
-
-  private boolean graceOver(C connection) {
-    return clock.now() - awaited.get(connection) >= SENDING_GRACE;
-  }
-
   /** Closes so many of the candidates, but none whose state changes when it is read once more. */
   private void giveWay(Stream<C> candidates, int count, Reason reason) {
     int left = count;
@@ -292,7 +262,7 @@
     return open.contains(connection)
         && read(connection)
         && connection.state() == before
-        && (awaited.containsKey(connection) || idle.contains(connection));
+        && (awaited.contains(connection) || idle.contains(connection));
   }
 
   /** Reads what waits on the connection; false if its peer has closed it: its place is free. */
@@ -306,16 +276,8 @@
   }
 
   private void sweep() {
-    double limit = clock.now() - timeout;
-    List<C> late = new ArrayList<>();
-    for (Map.Entry<C, Double> each : awaited.entrySet()) {
-      if (each.getValue() > limit) {
-        break;
-      }
-      late.add(each.getKey());
-    }
-    for (C each : late) {
-      if (stillWaits(each) && awaited.getOrDefault(each, Double.MAX_VALUE) <= limit) {
+    for (C each : awaited.late(timeout)) {
+      if (stillWaits(each) && awaited.awaitedFor(each, timeout)) {
         closes.record(Reason.TIMEOUT, timeout, each.asClosed(clock.now()));
         each.timedOut();
       }
--- a/node/src/test/java/ferngrade/http/ConnectionTableTest.java
+++ b/node/src/test/java/ferngrade/http/ConnectionTableTest.java
@@ -150,7 +150,7 @@
     List<Connection> silent = open(AWAITED + 2, false);
     endTurn();
     assertEquals(closed(silent), 0);
-    pass(ConnectionTable.SENDING_GRACE);
+    pass(AwaitedConnections.SENDING_GRACE);
     assertEquals(closed(silent), 2);
     assertTrue(silent.get(0).closed && silent.get(1).closed, "the oldest go");
   }
