Have connections whose responses are not read give way where no place is left

Callers: 26 peers (at 64 descriptors) that read no responses until their sockets take no more held all places of the clients' listener for good: nobody else was accepted, callbacks included. Found by review; since the listener accepts no more than there are places. Cause: while a response waited for room the connection was BUSY, which gives way to nobody. Change: state RESPONDING, awaited but without a timeout: it gives way after 500 ms, strangers' before idle clients' connections, those that have carried jobs last.

--- a/node/src/main/java/ferngrade/http/AwaitedConnections.java
+++ b/node/src/main/java/ferngrade/http/AwaitedConnections.java
@@ -7,13 +7,14 @@
 import java.util.stream.Stream;
 
 /**
- * The connections of a {@link ConnectionTable} that await the rest of a request, or a close, and
- * since when. The oldest comes first wherever several are returned. Belongs to the event loop.
+ * The connections of a {@link ConnectionTable} that wait for their peers, which have to send the
+ * rest of a request, to read a response or to close, and since when. The oldest comes first
+ * wherever several are returned. Belongs to the event loop.
  */
 final class AwaitedConnections<C extends ManagedConnection> {
   /**
-   * How long a peer may need between its connect and its first byte, ms, before its connection
-   * gives way to others while there are places left: its machine may be busy, too.
+   * How long a peer may need between its connect and its first byte, or to read a response, ms,
+   * before its connection gives way to others: its machine may be busy, too.
    */
   static final double SENDING_GRACE = 500;
 
@@ -62,6 +63,16 @@
     return in(ConnectionState.RESTING).filter(each -> !each.trusted()).toList();
   }
 
+  /** Those whose peers have not read their responses. */
+  List<C> responding() {
+    return in(ConnectionState.RESPONDING).toList();
+  }
+
+  /** Those of them that have sent nothing of use before. */
+  List<C> respondingUntrusted() {
+    return in(ConnectionState.RESPONDING).filter(each -> !each.trusted()).toList();
+  }
+
   /** Those whose peers have been sent all that they get. */
   List<C> closing() {
     return in(ConnectionState.CLOSING).toList();
@@ -72,9 +83,12 @@
     return awaitedFor(connection, SENDING_GRACE);
   }
 
-  /** Those that are awaited for {@code timeout} ms or longer. */
+  /** Those that have sent or closed nothing for {@code timeout} ms; a response has no timeout. */
   List<C> late(double timeout) {
-    return since.keySet().stream().takeWhile(each -> awaitedFor(each, timeout)).toList();
+    return since.keySet().stream()
+        .takeWhile(each -> awaitedFor(each, timeout))
+        .filter(each -> each.state() != ConnectionState.RESPONDING)
+        .toList();
   }
 
   /** True if the connection is awaited, and for {@code millis} or longer. */
--- a/node/src/main/java/ferngrade/http/ClientConnection.java
+++ b/node/src/main/java/ferngrade/http/ClientConnection.java
@@ -87,7 +87,12 @@
 
   /** True if the next request that is read can be handled at once. */
   boolean canBegin() {
-    return state != ConnectionState.BUSY && state != ConnectionState.CLOSING;
+    return !handlesRequest() && state != ConnectionState.CLOSING;
+  }
+
+  /** True while a request is being handled or its response waits for the peer to read. */
+  boolean handlesRequest() {
+    return state == ConnectionState.BUSY || state == ConnectionState.RESPONDING;
   }
 
   /** A request is being handled from here on. */
@@ -191,9 +196,13 @@
       response.headers().set(HttpHeaderNames.CONNECTION, "close");
     }
     ChannelFuture written = channel.writeAndFlush(response);
-    if (!keep && !written.isDone()) {
-      // What cannot be answered any more is not read.
-      channel.config().setAutoRead(false);
+    if (!written.isDone()) {
+      state = ConnectionState.RESPONDING;
+      connections.await(this);
+      if (!keep) {
+        // What cannot be answered any more is not read.
+        channel.config().setAutoRead(false);
+      }
     }
     written.addListener(future -> written(future.isSuccess(), wasJob, keep));
   }
--- a/node/src/main/java/ferngrade/http/ClientConnectionHandler.java
+++ b/node/src/main/java/ferngrade/http/ClientConnectionHandler.java
@@ -138,7 +138,7 @@
   private void count(ChannelHandlerContext ctx, int bytes) {
     bytesRead += bytes;
     readWhileClosing += connection.closeRequested() ? bytes : 0;
-    if (connection.state() == ConnectionState.BUSY && readWhileClosing > MAX_READ_WHILE_CLOSING) {
+    if (connection.handlesRequest() && readWhileClosing > MAX_READ_WHILE_CLOSING) {
       ctx.channel().config().setAutoRead(false);
     }
   }
--- a/node/src/main/java/ferngrade/http/ConnectionState.java
+++ b/node/src/main/java/ferngrade/http/ConnectionState.java
@@ -10,6 +10,8 @@
   RECEIVING,
   /** A request is being handled. */
   BUSY,
+  /** Its response waits for the peer to read: the socket takes no more of it. */
+  RESPONDING,
   /** This side has closed; what still arrives is dropped, as it could not be answered. */
   CLOSING
 }
--- a/node/src/main/java/ferngrade/http/ConnectionTable.java
+++ b/node/src/main/java/ferngrade/http/ConnectionTable.java
@@ -133,7 +133,7 @@
     acceptSwitch.places(places());
   }
 
-  /** From now on the connection is awaited; for one that was before, the timeout starts anew. */
+  /** From now on its peer is awaited; for one that was before, the timeout starts anew. */
   void await(C connection) {
     idle.remove(connection);
     if (open.contains(connection)) {
@@ -162,6 +162,7 @@
       await(connection);
       return;
     }
+    awaited.remove(connection);
     idle.add(connection);
     reviewLater();
   }
@@ -220,9 +221,11 @@
           Stream.of(
                   awaited.silent().stream().filter(awaited::graceOver),
                   awaited.closing().stream(),
+                  awaited.respondingUntrusted().stream().filter(awaited::graceOver),
                   awaited.silent().stream(),
                   idle.stream(),
-                  awaited.receivingUntrusted().stream().filter(awaited::graceOver))
+                  awaited.receivingUntrusted().stream().filter(awaited::graceOver),
+                  awaited.responding().stream().filter(awaited::graceOver))
               .flatMap(each -> each)
               .distinct();
       giveWay(candidates, 1 - places(), Reason.CONNECTION_LIMIT);
--- a/node/src/test/java/ferngrade/http/ConnectionTableTest.java
+++ b/node/src/test/java/ferngrade/http/ConnectionTableTest.java
@@ -205,6 +205,28 @@
     assertTrue(silent.closed);
   }
 
+  /** Fails where peers that read no responses hold all places for good. */
+  @Test
+  public void connectionsWhoseResponsesAreNotReadGiveWayAfterTheirGrace() {
+    Connection idle = openIdle();
+    List<Connection> unread = open(PLACES - 1, true);
+    endTurn();
+    for (Connection each : unread) {
+      each.state = ConnectionState.RESPONDING;
+      table.await(each);
+    }
+    endTurn();
+    assertEquals(closed(unread), 0);
+    assertTrue(idle.closed, "a place is kept free");
+    Connection next = openIdle();
+    pass(AwaitedConnections.SENDING_GRACE);
+    assertTrue(unread.get(0).closed);
+    assertFalse(next.closed);
+    assertEquals(accepts(), 1);
+    pass(TIMEOUT);
+    assertEquals(closed(unread), 1, "a response has no timeout while there are places");
+  }
+
   /** Fails where connections that are gone hold their places until the end of the turn. */
   @Test
   public void connectionsWhosePeersAreGoneFreeTheirPlacesBeforeOthersGiveWay() {
