Keep no ended connection among the idle ones of its table

Operators: a kept call between processes that ended before its answer (a hanging disk) stayed among the idle connections; each time a place was needed it was counted as the place freed, so that none was. Found by review. Cause: ConnectionTable.rest did not ask whether the connection is still open. Evidence: the new case of ConnectionTableTest failed before (no place freed), and passes.

--- a/node/src/main/java/ferngrade/http/ConnectionTable.java
+++ b/node/src/main/java/ferngrade/http/ConnectionTable.java
@@ -163,8 +163,10 @@
       return;
     }
     awaited.remove(connection);
-    idle.add(connection);
-    reviewLater();
+    if (open.contains(connection)) {
+      idle.add(connection);
+      reviewLater();
+    }
   }
 
   // ---- Who gives way ----
--- a/node/src/test/java/ferngrade/http/ConnectionTableTest.java
+++ b/node/src/test/java/ferngrade/http/ConnectionTableTest.java
@@ -252,6 +252,21 @@
     assertEquals(accepts(), 1);
   }
 
+  /** Fails where a connection that ended before its answer is kept, and counted when one is due. */
+  @Test
+  public void connectionThatHasEndedIsNotKeptAsIdleByItsAnswer() {
+    Connection ended = open(1, false).get(0);
+    ended.trusted = true;
+    table.busy(ended);
+    table.closed(ended);
+    table.rest(ended);
+    for (int i = 0; i < PLACES; i++) {
+      openIdle();
+    }
+    endTurn();
+    assertTrue(accepts() > 0, "an idle one gives way");
+  }
+
   private int accepts() {
     MaxMessagesRecvByteBufAllocator allocator = listener.config().getRecvByteBufAllocator();
     return listener.config().isAutoRead() ? allocator.maxMessagesPerRead() : 0;
