Answer a callback 503 wherever another process may run that the log does not name yet

Callers: a job that was done could get no result, as a callback for it that came to another process was answered 204 and dropped. Change: the log is read before each relay.

--- a/node/src/main/java/ferngrade/http/UpgradePeers.java
+++ b/node/src/main/java/ferngrade/http/UpgradePeers.java
@@ -166,9 +166,7 @@
 
   /** Relays a callback; {@code outcome} runs once. */
   void relay(String callback, Consumer<RelayOutcome> outcome) {
-    if (peers.isEmpty()) {
-      processes.refresh();
-    }
+    processes.refresh();
     RelayRound round = new RelayRound(peers.size(), outcome);
     callAll("/-/news", callback, RELAY_TIMEOUT, round::answered);
   }
--- a/node/src/main/java/ferngrade/node/SharedLog.java
+++ b/node/src/main/java/ferngrade/node/SharedLog.java
@@ -33,6 +33,12 @@
   /** How often it is checked that the file which is followed is still the one at its path, ms. */
   static final long VERIFY_INTERVAL = 100;
 
+  /**
+   * How long after the first record that this process could append another one, which could not
+   * until then, may take to append its own, ms: its longest pause between tries, and a moment.
+   */
+  public static final double MAX_APPEND_DELAY = 2 * BackgroundWriter.RETRY_MAX;
+
   /** A longer line is none of this log's. */
   private static final int MAX_LINE = 4096;
 
@@ -138,9 +144,14 @@
     return complete || followed != null;
   }
 
-  /** True if the last {@link #poll} has passed on all that the log held. */
+  /** True if the last {@link #poll} has passed on all that the file at the log's path held. */
   public boolean current() {
-    return followed != null && !readFailed;
+    FollowedFile file = followed;
+    try {
+      return file != null && !readFailed && file.isAt(path);
+    } catch (IOException unknown) {
+      return false;
+    }
   }
 
   private FollowedFile follow() throws IOException {
--- a/node/src/main/java/ferngrade/server/SharedState.java
+++ b/node/src/main/java/ferngrade/server/SharedState.java
@@ -75,6 +75,12 @@
   private DrainRecord drain = DrainRecord.NONE;
   private InetSocketAddress ownAddress;
 
+  /**
+   * Since when the log holds the record of this process, ms on the clock; infinite while it does
+   * not. The others could append theirs as well by then.
+   */
+  private double ownRecorded = Double.POSITIVE_INFINITY;
+
   /** When the log was last read, ms on the clock: what it did not hold then was decided later. */
   private double lastRefresh = Double.NEGATIVE_INFINITY;
 
@@ -167,7 +173,8 @@
 
   @Override
   public boolean othersMayRun() {
-    return othersRun() || !shared.current();
+    boolean othersRecorded = clock.now() - ownRecorded >= SharedLog.MAX_APPEND_DELAY;
+    return othersRun() || !othersRecorded || !shared.current();
   }
 
   /** This process takes calls at this address from now on; the others get to know. */
@@ -226,6 +233,9 @@
       }
       peers.recorded(process.operators());
       processes.started(process.pid());
+      if (process.operators().equals(ownAddress)) {
+        ownRecorded = Math.min(ownRecorded, clock.now());
+      }
     } else if (record instanceof FinishingRecord finishing) {
       processes.finishing(finishing.pid());
     } else if (record != null && earlierDecisions != null) {
@@ -320,6 +330,7 @@
 
   /** Another file stands in the log's place: it gets all that is in force. */
   private void appendAll() {
+    ownRecorded = Double.POSITIVE_INFINITY;
     coordinator.maintenanceDecisions().forEach(each -> append(each, () -> {}));
     if (drain.version() > 0) {
       append(drain, () -> {});
--- a/node/src/test/java/ferngrade/http/UpgradePeersTest.java
+++ b/node/src/test/java/ferngrade/http/UpgradePeersTest.java
@@ -207,6 +207,37 @@
     assertEquals(loop.submit(peers::relayed).get().get(RelayOutcome.UNANSWERED).longValue(), 1L);
   }
 
+  /** Fails where a callback for a job of a process that has just started is dropped. */
+  @Test(timeOut = 30_000)
+  public void callbackThatTheKnownProcessNeverHadIsRelayedToOneThatTheLogNamesSince()
+      throws Exception {
+    try (ServerSocket started = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      started.setSoTimeout(10_000);
+      InetSocketAddress address =
+          new InetSocketAddress(started.getInetAddress(), started.getLocalPort());
+      loop.submit(() -> peers.knownBy(logThatNames(address))).get();
+      relay("a");
+      accept().write(UNKNOWN);
+      assertEquals(outcomes.poll(1, TimeUnit.SECONDS), null, "the other has not been asked");
+      new RawHttp(started.accept()).write(TAKEN);
+      assertEquals(nextOutcome(), "a TAKEN");
+    }
+  }
+
+  private UpgradePeers.RunningProcesses logThatNames(InetSocketAddress address) {
+    return new UpgradePeers.RunningProcesses() {
+      @Override
+      public void refresh() {
+        peers.recorded(address);
+      }
+
+      @Override
+      public boolean othersMayRun() {
+        return true;
+      }
+    };
+  }
+
   /** A connection that the peer keeps after one answered call. */
   private RawHttp keptConnection() throws Exception {
     relay("a");
--- a/node/src/test/java/ferngrade/node/SharedLogTest.java
+++ b/node/src/test/java/ferngrade/node/SharedLogTest.java
@@ -178,4 +178,15 @@
     assertTrue(follower.log.complete());
     assertEquals(1, follower.replaced);
   }
+
+  /** Fails where a process relies on a file that the others do not write to any more. */
+  @Test
+  void logIsNotCurrentWhileAnotherFileStandsInItsPlace() {
+    Follower follower = new Follower();
+    assertTrue(follower.log.current());
+    files.put(PATH, "\n".getBytes(StandardCharsets.US_ASCII));
+    appendTo(files, "b");
+    follower.log.poll();
+    assertEquals(follower.log.current(), follower.records.contains("b"), "all that the log holds");
+  }
 }
