Start a node without the logging library that the full jar has for experiments

Cause: Netty takes SLF4J if it is on the class path, so that `serve` loaded and configured Logback before it listened. The lean jar has neither; there the search for them was in vain. Change: `serve` has Netty log by the runtime's logging, which is what the lean jar ends up with.

--- a/node/src/main/java/ferngrade/cli/Serve.java
+++ b/node/src/main/java/ferngrade/cli/Serve.java
@@ -5,6 +5,8 @@
 import ferngrade.node.Clock;
 import ferngrade.node.RateLimitedLog;
 import ferngrade.server.NodeServer;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -22,6 +24,7 @@
 
   @Override
   public Integer call() throws InterruptedException {
+    logNettyThroughTheRuntime();
     if (!rehearse) {
       return serve(null);
     }
@@ -33,6 +36,14 @@
     }
   }
 
+  /**
+   * Netty looks for other logging libraries first. One that is on the class path would be loaded
+   * and configured before the node listens, for messages that a node hardly ever gets.
+   */
+  private static void logNettyThroughTheRuntime() {
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+  }
+
   /** Serves until a signal ends the process, or the rehearsal is over if there is one. */
   private static int serve(Rehearsal rehearsal) throws InterruptedException {
     // First of all: a SIGHUP that came while the node still starts would end it.
