Start the nodes of fault tests by a class archive, as the deploy command does

The bound is that of the platform for `run`; `run` starts by a class archive, the harness did not. Cause: without an archive 1,163 classes (789 without Logback) are read from the full jar and verified at each start, and 587 (387) from the runtime's modules; the start waits for nothing but a processor. UpgradeRun.thisProgram names the archive beside the jar if there is one; the 6 s and how readiness is judged stay as they are. An archive that does not fit is passed over. Rejected: an archive that the JVM makes itself at the first start (needs Java 19), and a start that leaves work for behind `ready` (first uses would hold up the loop in service).

--- a/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeRun.java
+++ b/faulttest/src/main/java/ferngrade/faulttest/upgrade/UpgradeRun.java
@@ -44,6 +44,7 @@
 
   private static final long READY_POLL = 20;
   private static final int LONGEST_DEADLINE = 3000;
+  private static final String CLASS_ARCHIVE_SUFFIX = ".jsa";
 
   private final Observations observations = new Observations();
   private final ScheduledExecutorService runner = Executors.newScheduledThreadPool(1);
@@ -74,24 +75,42 @@
 
   /**
    * The command that serves with the classes of this very program, within the bounds of the deploy
-   * file.
+   * file and, like there, from a class archive where the build has made one.
    */
   public static List<String> thisProgram() {
+    String classPath = System.getProperty("java.class.path");
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(
+        List.of(
+            "-Xms32m",
+            "-Xmx48m",
+            "-Xss512k",
+            "-XX:MaxDirectMemorySize=12m",
+            "-XX:MaxMetaspaceSize=32m",
+            "-XX:ReservedCodeCacheSize=16m",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:-UsePerfData"));
+    command.addAll(classArchive(classPath));
+    command.addAll(List.of("-cp", classPath, "ferngrade.Main", "serve"));
+    return command;
+  }
+
+  /**
+   * The options for the class archive beside the jar, none where {@code classPath} is not a single
+   * jar that has one. An archive that does not fit is ignored without a word.
+   */
+  static List<String> classArchive(String classPath) {
+    Path archive = Path.of(classPath.replaceFirst("[.]jar$", CLASS_ARCHIVE_SUFFIX));
+    if (!classPath.endsWith(".jar") || !Files.exists(archive)) {
+      return List.of();
+    }
     return List.of(
-        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-        "-Xms32m",
-        "-Xmx48m",
-        "-Xss512k",
-        "-XX:MaxDirectMemorySize=12m",
-        "-XX:MaxMetaspaceSize=32m",
-        "-XX:ReservedCodeCacheSize=16m",
-        "-XX:+UseSerialGC",
-        "-XX:TieredStopAtLevel=1",
-        "-XX:-UsePerfData",
-        "-cp",
-        System.getProperty("java.class.path"),
-        "ferngrade.Main",
-        "serve");
+        "-Xshare:auto",
+        "-XX:SharedArchiveFile=" + archive,
+        "-Xlog:disable",
+        "-Xlog:all=error:stderr");
   }
 
   /** What was seen so far. */
--- /dev/null
+++ b/faulttest/src/test/java/ferngrade/faulttest/upgrade/ClassArchiveOptionsTest.java
@@ -0,0 +1,32 @@
+package ferngrade.faulttest.upgrade;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A node under test starts from a class archive, as a deployed one does, where there is one. */
+class ClassArchiveOptionsTest {
+  @TempDir private Path folder;
+
+  @Test
+  void theArchiveBesideASingleJarIsUsed() throws IOException {
+    Path archive = Files.createFile(folder.resolve("node.jsa"));
+    List<String> options = UpgradeRun.classArchive(folder.resolve("node.jar").toString());
+    assertTrue(options.contains("-XX:SharedArchiveFile=" + archive), options.toString());
+  }
+
+  @Test
+  void aJarWithoutAnArchiveAndOtherClassPathsStartAsTheyAre() throws IOException {
+    Path jar = folder.resolve("node.jar");
+    assertEquals(List.of(), UpgradeRun.classArchive(jar.toString()));
+    Files.createFile(folder.resolve("node.jsa"));
+    assertEquals(List.of(), UpgradeRun.classArchive(folder.resolve("other.jar") + ":" + jar));
+    assertEquals(List.of(), UpgradeRun.classArchive(folder.toString()));
+  }
+}
