Read a watch before its silence ends it

Callers: a loop that was held up ended a watch of discovery with a change of the list unread in its socket; a drain told in time was thrown away until the watch was open again, 100 ms or more, and jobs went to that worker. Found by review; the same class as connections closed unread. Cause: the timers of DiscoveryWatch ran before the socket was read. Change: an expired timer reads first, and ends the watch only if nothing has come.

--- a/node/src/main/java/ferngrade/discovery/DiscoveryWatch.java
+++ b/node/src/main/java/ferngrade/discovery/DiscoveryWatch.java
@@ -241,7 +241,16 @@
     if (silence != null) {
       silence.cancel();
     }
-    silence = timers.after(span, whenSilent);
+    silence = timers.after(span, () -> silent(whenSilent));
+  }
+
+  /** The time is over; what has come since the last read, in a loop that was held up, counts. */
+  private void silent(Runnable whenSilent) {
+    Timers.Timer expired = silence;
+    readPending();
+    if (channel != null && silence == expired) {
+      whenSilent.run();
+    }
   }
 
   private void unanswered() {
--- a/node/src/test/java/ferngrade/discovery/DiscoveryStory.java
+++ b/node/src/test/java/ferngrade/discovery/DiscoveryStory.java
@@ -41,7 +41,7 @@
   Timers timers;
   ServerSocket discovery;
   RequestCoordinator node;
-  private final AtomicBoolean ended = new AtomicBoolean();
+  final AtomicBoolean ended = new AtomicBoolean();
 
   /** Lets time pass on the clock; the test and the loop may both do so. */
   final synchronized void advance(double millis) {
--- a/node/src/test/java/ferngrade/discovery/DiscoveryWatchTest.java
+++ b/node/src/test/java/ferngrade/discovery/DiscoveryWatchTest.java
@@ -31,6 +31,25 @@
     }
   }
 
+  /** Fails where a loop that was held up ends a watch without reading what it has been told. */
+  @Test(timeOut = 30_000)
+  public void watchWhoseSignOfLifeLiesUnreadWhenItsTimeIsOverIsKept() throws Exception {
+    try (RawHttp watch = accept(WHOLE)) {
+      watch.write(HEAD + list(41, true, "s-1", "active"));
+      awaitReady(true);
+      loop.submit(
+              () -> {
+                watch.write(list(43, false, "s-1", "left"));
+                now = 2_600;
+                timers.run();
+                return null;
+              })
+          .get();
+      assertFalse(ended.get(), "the watch has been ended");
+      awaitReady(false);
+    }
+  }
+
   @Test(timeOut = 30_000)
   public void watchThatEndsIn503IsAskedForAgainAndTheLastListStays() throws Exception {
     try (RawHttp refused = accept(WHOLE)) {
