Read an idle connection to a worker before a job is written to it

What callers saw: a worker that has closed its idle connections, as one that restarts does, had a job written to one of them while the event loop had not come to read the end. The job ended as a reset: an at_most_once job was lost to its client, and the worker was blamed. Stray bytes on an idle connection were taken for the answer to the next request.

Cause: ConnectionPool.take handed out a connection by what the loop knew of it.

Change: take reads the connection, as attempts' timers do, and passes over one that has ended by that. Its end tells the pool how long the worker keeps idle connections, as before. Rejected: writing first and retrying after a reset, which an at_most_once job forbids. Between this read and the write lie the read of the shared log and that of the client's connection.

Evidence: jobIsNotWrittenToAnIdleConnectionThat has the worker close, reset or half close the connection, or answer twice, while the loop is held. On the code before, all four rows fail: the job goes to the old connection, and no new one comes within 10 s.

deleteUnderWhichAnIdleConnectionClosesIsSaidAgainOnANewOne sees the close before it writes now; the retry of a cancellation that was written is held by deleteThatWasReadAndNotAnsweredIsSaidAgainOnANewConnection instead, beside it.

--- a/node/src/main/java/ferngrade/http/ConnectionPool.java
+++ b/node/src/main/java/ferngrade/http/ConnectionPool.java
@@ -56,7 +56,11 @@
     timers.after(SWEEP, this::sweep);
   }
 
-  /** The idle connection used last that is fit for use, or null if there is none. */
+  /**
+   * The idle connection used last that is fit for use, or null if there is none. It is read first:
+   * the event loop may not have come to notice that the worker has ended it, and a job written to
+   * it would be reset.
+   */
   WorkerConnection take(InetSocketAddress worker) {
     Deque<WorkerConnection> pooled = idle.get(worker);
     if (pooled == null) {
@@ -66,7 +70,7 @@
       double idleFor = clock.now() - connection.idleSince;
       if (!connection.isActive() || idleFor >= limit(worker)) {
         connection.close();
-      } else if (idleFor >= SETTLED) {
+      } else if (idleFor >= SETTLED && connection.activeAfterReading()) {
         pooled.remove(connection);
         connection.reusedAfter = idleFor;
         return connection;
--- a/node/src/main/java/ferngrade/http/WorkerConnection.java
+++ b/node/src/main/java/ferngrade/http/WorkerConnection.java
@@ -149,6 +149,15 @@
     PendingReads.read((AbstractNioChannel) context.channel());
   }
 
+  /**
+   * Reads what has come. False if the connection has ended, be it because the worker has closed it
+   * or because it was idle and bytes have come on it all the same.
+   */
+  boolean activeAfterReading() {
+    readPending();
+    return isActive();
+  }
+
   /** Ends the connection from this side. */
   void close() {
     endedHere = true;
--- a/node/src/test/java/ferngrade/http/WorkerClientTest.java
+++ b/node/src/test/java/ferngrade/http/WorkerClientTest.java
@@ -1,5 +1,6 @@
 package ferngrade.http;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
@@ -19,6 +20,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -273,6 +275,71 @@
     assertTrue(told.isEmpty(), "once");
   }
 
+  /** The worker reads a cancellation on a reused connection, and closes that without an answer. */
+  @Test
+  public void deleteThatWasReadAndNotAnsweredIsSaidAgainOnANewConnection() throws Exception {
+    WorkerTransport.AttemptHandle taken = send("a");
+    RawHttp first = new RawHttp(worker.accept());
+    first.read();
+    first.write(TAKEN);
+    pooled();
+    advance(100);
+    loop.submit(() -> taken.giveUp(() -> told.add("deleted"))).get();
+    assertEquals(first.read().start(), "DELETE /jobs/a HTTP/1.1");
+    first.end();
+    assertEquals(new RawHttp(worker.accept()).read().start(), "DELETE /jobs/a HTTP/1.1");
+    assertEquals(told.take(), "written");
+    assertEquals(told.take(), "deleted");
+    assertTrue(told.isEmpty(), "once");
+  }
+
+  /** What a worker does to an idle connection. */
+  private interface IdleFate {
+    void meet(Socket connection) throws IOException;
+  }
+
+  private static void reset(Socket connection) throws IOException {
+    connection.setSoLinger(true, 0);
+    connection.close();
+  }
+
+  @DataProvider
+  public Object[][] idleFates() {
+    return new Object[][] {
+      {"closed", (IdleFate) Socket::close},
+      {"reset", (IdleFate) WorkerClientTest::reset},
+      {"half closed", (IdleFate) Socket::shutdownOutput},
+      {"answered again", (IdleFate) each -> each.getOutputStream().write(TAKEN.getBytes(US_ASCII))}
+    };
+  }
+
+  /** Fails where a job is written to a connection whose end the loop has not come to read. */
+  @Test(dataProvider = "idleFates", timeOut = 30_000)
+  public void jobIsNotWrittenToAnIdleConnectionThat(String how, IdleFate fate) throws Exception {
+    send("a");
+    Socket first = worker.accept();
+    RawHttp idle = new RawHttp(first);
+    idle.read();
+    idle.write(TAKEN);
+    pooled();
+    assertEquals(told.take(), "written");
+    advance(100);
+    loop.submit(
+            () -> {
+              fate.meet(first);
+              begin("b");
+              return null;
+            })
+        .get();
+    RawHttp second = new RawHttp(worker.accept());
+    assertEquals(second.read().headers().get("Req-Id"), "b", how);
+    second.write(TAKEN);
+    pooled();
+    assertEquals(told.take(), "written");
+    assertTrue(told.isEmpty(), how + ": " + told);
+    first.close();
+  }
+
   /** What is left of an attempt's time once its connection is up, and what the worker is told. */
   @DataProvider
   public Object[][] rests() {
