Read callbacks and answers before a timer ends their attempt or request

What callers saw: a request whose result lay in a socket of the node failed, where the event loop was held up past the request's time and ran its timers before it read. A job that its worker had declined by then was answered as failed, also at the end of a process, where its client could have tried again.

Cause: an attempt's timeout and its 1 s for a 202 read the worker's connection only, and no callbacks; the guard of a request read nothing and failed it inside the timer, ahead of the events that were gathered in the same turn.

Change: these timers read the worker's connection and all connections on which a callback may come: those of clients' listener and of the operators', which other processes relay to, and what waits to be accepted on either. That is done once a turn of the loop (OncePerTurn), as what comes behind it has come behind the time of each timer of the turn. The guard decides behind the events of the turn and what the dispatcher made of them. Nothing is waited for: the answer comes in the turn in which the timer runs, as before. ferngrade.node asks for it by WorkerTransport.readCallbacks; the composition root says what is read.

Rejected: to read only where a timer is late. A timer that is due at the end of a long turn is not late, and what came in that turn is unread all the same. Such timers run where a worker does not answer in time, not for each request.

Evidence: UnreadCallbacksTest holds the loop in a late timer and brings a result on a new connection, a kept one and by relay: with the attempt's timeout, the guard, or the 1 s for the 202 due.

--- a/node/src/main/java/ferngrade/http/AcceptSwitch.java
+++ b/node/src/main/java/ferngrade/http/AcceptSwitch.java
@@ -6,8 +6,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.MaxMessagesRecvByteBufAllocator;
+import io.netty.channel.nio.AbstractNioChannel;
 import java.util.EnumSet;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 /**
  * The one owner of whether a listening channel accepts, and how many connections at a time: it
@@ -78,6 +81,15 @@
     return places;
   }
 
+  /**
+   * Accepts the connections that wait, unless it pauses; see {@link PendingReads#acceptWaiting}.
+   */
+  void acceptWaiting(LongSupplier accepted, BooleanSupplier capacity) {
+    if (listener != null && reasons.isEmpty()) {
+      PendingReads.acceptWaiting((AbstractNioChannel) listener, accepted, capacity);
+    }
+  }
+
   /** Sets or clears one reason to pause. */
   void pause(Reason reason, boolean holds) {
     boolean changed = holds ? reasons.add(reason) : reasons.remove(reason);
--- a/node/src/main/java/ferngrade/http/Admin.java
+++ b/node/src/main/java/ferngrade/http/Admin.java
@@ -111,6 +111,11 @@
     whenAnswered(() -> store.accept(() -> endUnlessCalled(store, done)));
   }
 
+  /** Accepts and reads what has come and the event loop has not come to read. */
+  public void readPending() {
+    connections.readPending();
+  }
+
   /** True once the process ends: each connection closes behind its answer. */
   boolean finishing() {
     return finishing;
--- a/node/src/main/java/ferngrade/http/ConnectionTable.java
+++ b/node/src/main/java/ferngrade/http/ConnectionTable.java
@@ -177,6 +177,24 @@
     reviewLater();
   }
 
+  /**
+   * Accepts and reads what has come and the event loop has not come to read. Connections that are
+   * busy, or close, are left out: what follows on them has to wait in any case.
+   */
+  void readPending() {
+    acceptSwitch.acceptWaiting(this::accepted, this::hasPlace);
+    for (C each : open()) {
+      if (open.contains(each) && awaitsRequest(each)) {
+        read(each);
+      }
+    }
+  }
+
+  private static boolean awaitsRequest(ManagedConnection connection) {
+    return connection.state() != ConnectionState.BUSY
+        && connection.state() != ConnectionState.CLOSING;
+  }
+
   // ---- Who gives way ----
 
   private boolean limitReached() {
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -177,6 +177,11 @@
     acceptSwitch.pause(Reason.NOT_READY, hold);
   }
 
+  /** Accepts and reads what has come and the event loop has not come to read. */
+  public void readPending() {
+    connections.readPending();
+  }
+
   // ---- Draining and shutdown ----
 
   /** True while every response closes its connection: the node or its operators drain it. */
--- a/node/src/main/java/ferngrade/http/WorkerClient.java
+++ b/node/src/main/java/ferngrade/http/WorkerClient.java
@@ -25,6 +25,7 @@
   private final RateLimitedLog log;
   private final Dialer dialer;
   private Runnable beforeAttempt = () -> {};
+  private Runnable callbackReader = () -> {};
   private String process;
 
   public WorkerClient(
@@ -59,6 +60,16 @@
     beforeAttempt = task;
   }
 
+  /** Sets a task that reads the callbacks that the event loop has not come to read, on the loop. */
+  public void readCallbacksBy(Runnable reader) {
+    callbackReader = reader;
+  }
+
+  @Override
+  public void readCallbacks() {
+    callbackReader.run();
+  }
+
   /** Sets what attempts say of the process that sends them, name and process id. */
   public void identifyAs(String sender) {
     process = sender;
--- a/node/src/main/java/ferngrade/node/Attempt.java
+++ b/node/src/main/java/ferngrade/node/Attempt.java
@@ -79,6 +79,11 @@
     return !Double.isNaN(acceptedAt) || endReported || ended;
   }
 
+  /** The worker has answered it or called back about it, or it has ended otherwise. */
+  boolean heardOf() {
+    return answered() || calledBack;
+  }
+
   /** Written and not ended: what a callback can be about. */
   boolean running() {
     return written && !ended;
--- a/node/src/main/java/ferngrade/node/AttemptRunner.java
+++ b/node/src/main/java/ferngrade/node/AttemptRunner.java
@@ -99,14 +99,23 @@
   }
 
   private void timedOut(Attempt attempt) {
-    if (!attempt.ended) {
-      attempt.sending.readPending();
-    }
+    readPending(attempt);
     if (!attempt.endReported) {
       giveUp(attempt, AttemptOutcome.TIMEOUT, AttemptOutcome.CONNECT_FAILED);
     }
   }
 
+  /**
+   * Reads what has come about an attempt that has not ended: a loop that was held up runs timers
+   * before it reads that. What a timer decides is handed over behind it.
+   */
+  void readPending(Attempt attempt) {
+    if (!attempt.ended && attempt.sending != null) {
+      attempt.sending.readPending();
+      transport.readCallbacks();
+    }
+  }
+
   /** Cancels an attempt in the next turn, if it has not ended by then. */
   void cancel(Attempt attempt) {
     giveUp(attempt, AttemptOutcome.CANCELLED, AttemptOutcome.NEVER_SENT);
@@ -139,7 +148,7 @@
   private void notAccepted(Attempt attempt) {
     if (!attempt.ended && !attempt.written && attempt.sending.delayedLocally()) {
       attempt.acceptance = timers.after(ACCEPTANCE_TIMEOUT, () -> notAccepted(attempt));
-    } else if (!answeredAfterReading(attempt) && !attempt.calledBack) {
+    } else if (!heardOfAfterReading(attempt)) {
       attempt.sending.giveUp(
           () ->
               turns.event(
@@ -153,12 +162,11 @@
     }
   }
 
-  /** A loop that was held up has this timer run out before it reads what has come meanwhile. */
-  private static boolean answeredAfterReading(Attempt attempt) {
-    if (!attempt.answered()) {
-      attempt.sending.readPending();
+  private boolean heardOfAfterReading(Attempt attempt) {
+    if (!attempt.heardOf()) {
+      readPending(attempt);
     }
-    return attempt.answered();
+    return attempt.heardOf();
   }
 
   /** Ends an attempt and reports that; does nothing for one that has ended. */
--- a/node/src/main/java/ferngrade/node/RequestCoordinator.java
+++ b/node/src/main/java/ferngrade/node/RequestCoordinator.java
@@ -346,10 +346,19 @@
   // ---- The end of requests and attempts ----
 
   private void overdue(PendingRequest request) {
+    // The process may have been paused: what has come until now, and attempts whose timeouts are
+    // due, are handed over in this turn, too, and come first.
+    request.attempts.forEach(attempts::readPending);
     if (ending) {
-      // The process may have been paused: attempts whose timeouts are due end in this turn, too.
       turns.event(() -> cutShort(request));
-    } else if (request.failed()) {
+    } else {
+      // Behind what the dispatcher decides on these events.
+      turns.event(() -> turns.action(() -> failOverdue(request)));
+    }
+  }
+
+  private void failOverdue(PendingRequest request) {
+    if (request.failed()) {
       traces.write(request, "no-answer-at-deadline");
       turns.event(
           () -> {
--- a/node/src/main/java/ferngrade/node/WorkerTransport.java
+++ b/node/src/main/java/ferngrade/node/WorkerTransport.java
@@ -16,6 +16,12 @@
   /** Asks a worker for its health and load; the answer goes to the listener. */
   void check(InetSocketAddress worker, BiConsumer<AttemptOutcome, LoadReport> listener);
 
+  /**
+   * Reads the callbacks that have come and that the event loop has not come to read, so that they
+   * are handed over before anything that is decided after this call.
+   */
+  default void readCallbacks() {}
+
   /** One attempt in flight. */
   interface AttemptHandle {
     /**
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -12,6 +12,7 @@
 import ferngrade.http.ConnectionPool;
 import ferngrade.http.ForcedCloses;
 import ferngrade.http.HttpFrontend;
+import ferngrade.http.OncePerTurn;
 import ferngrade.http.OperatorCalls;
 import ferngrade.http.RequestReader;
 import ferngrade.http.ShutdownBudget;
@@ -339,12 +340,21 @@
             sharedState.refresh();
           }
         });
+    workers.readCallbacksBy(new OncePerTurn(arrivals, this::readCallbacks));
     workers.identifyAs(platform.process());
     pauses.start();
     new BudgetReporter(coordinator, timers, log).start();
     return bound;
   }
 
+  /** Reads the callbacks of workers, and those that other processes of the node relay. */
+  private void readCallbacks() {
+    front.readPending();
+    if (operators != null) {
+      operators.readPending();
+    }
+  }
+
   /** Follows what the processes of the node tell each other, from before this one serves. */
   private SharedState shareState(StateFolder folder) {
     SharedState state =
--- a/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
+++ b/node/src/main/java/ferngrade/server/OperatorsEndpoint.java
@@ -90,6 +90,11 @@
     timers.after(Math.max(0, end - clock.now()) + MAX_LAST_STORE, once);
   }
 
+  /** Accepts and reads what has come and the event loop has not come to read. */
+  void readPending() {
+    admin.readPending();
+  }
+
   private void whenAppended(Runnable task) {
     if (sharedState == null) {
       task.run();
--- a/node/src/test/java/ferngrade/node/RequestCoordinatorTest.java
+++ b/node/src/test/java/ferngrade/node/RequestCoordinatorTest.java
@@ -241,6 +241,18 @@
     assertEquals(heard, List.of("arrived a", "ended a/0 FULL"));
   }
 
+  /** Fails where a shutdown takes a job for one that may have run beside its unread rejection. */
+  @Test
+  public void requestCutShortIsRefusedWhileItsWorkersRejectionLiesUnread() {
+    request("a", 21_000);
+    send("a", 1);
+    sent.get(0).written();
+    node.answerAllBy(now + 50);
+    unread = () -> sent.get(0).ended(AttemptOutcome.FULL, LoadReport.NONE);
+    pass(50);
+    assertEquals(answers, List.of("refused 0.0"));
+  }
+
   @Test
   public void jobThatWasCalledBackAboutCountsAsTakenWithoutTheWorkersWord() {
     request("a", 21_000);
--- a/node/src/test/java/ferngrade/server/HeldLoopFixture.java
+++ b/node/src/test/java/ferngrade/server/HeldLoopFixture.java
@@ -20,12 +20,13 @@
 import org.testng.annotations.AfterMethod;
 
 /**
- * A node that refuses all jobs, whose event loop a test can hold at a line of the log, and its
- * callers. The clock stands still but where the test moves it.
+ * A node that refuses all jobs, unless a story decides otherwise, whose event loop a test can hold
+ * at a line of the log, and its callers. The clock stands still but where the test moves it.
  */
 public abstract class HeldLoopFixture extends NodeIntegrationFixture {
   static final int MEMORY_MB = 256;
   private static final String HOLD = "hold";
+  static final String TIMER_IS_LATE = "event loop held up: timer";
 
   private final List<RawHttp> connections = new ArrayList<>();
   FaultInjectingFileOperations files;
@@ -41,11 +42,12 @@
         new NodeServer.Platform(null, Files.createTempDirectory("unread"), files),
         clock,
         log,
-        (started, at, actions) -> refusing(actions),
+        (started, at, actions) -> dispatcher(actions),
         channels);
   }
 
-  private Dispatcher refusing(Dispatcher.Actions actions) {
+  /** The decisions of the node; overridden where a story brings its own. */
+  Dispatcher dispatcher(Dispatcher.Actions actions) {
     return (Dispatcher)
         Proxy.newProxyInstance(
             getClass().getClassLoader(),
--- a/node/src/test/java/ferngrade/server/UnreadConnectionsTest.java
+++ b/node/src/test/java/ferngrade/server/UnreadConnectionsTest.java
@@ -20,7 +20,6 @@
  */
 @Test(timeOut = 30_000)
 public class UnreadConnectionsTest extends HeldLoopFixture {
-  private static final String TIMER_IS_LATE = "event loop held up: timer";
   private static final String TAKEN_OUT = "menu worker s-1 taken out by operators";
   private static final double CLIENT_TIMEOUT = 1500;
   private static final double CALL_TIMEOUT = 1000;
