Have the guard of a request decide behind events, ahead of the dispatcher's answers

What was seen: the whole node module on, 804 run, 6 failures, all in LittleTimeTest.requestThatItsWorkerDropsIsAnsweredAtItsEnd (503 for 502, classes plan and draft).

Cause: had the guard decide behind what the dispatcher makes of the events. Where the attempt's timeout and the guard are due in one turn, the dispatcher's rejection came first, which changes an answer that this test asks for. That was no part of the fault.

Change: the guard fails the request behind the events of the turn, so that a result that was read counts, and ahead of the dispatcher's answers, as it did.

Evidence: LittleTimeTest, UnreadCallbacksTest, RequestCoordinatorTest, LateReadTest and AcceptTimeEstimatorTest, 72 run, 0 failures.

--- a/node/src/main/java/ferngrade/node/RequestCoordinator.java
+++ b/node/src/main/java/ferngrade/node/RequestCoordinator.java
@@ -349,22 +349,21 @@
     // The process may have been paused: what has come until now, and attempts whose timeouts are
     // due, are handed over in this turn, too, and come first.
     request.attempts.forEach(attempts::readPending);
-    if (ending) {
-      turns.event(() -> cutShort(request));
-    } else {
-      // Behind what the dispatcher decides on these events.
-      turns.event(() -> turns.action(() -> failOverdue(request)));
-    }
+    turns.event(
+        () -> {
+          if (ending) {
+            cutShort(request);
+          } else {
+            failOverdue(request);
+          }
+        });
   }
 
   private void failOverdue(PendingRequest request) {
     if (request.failed()) {
       traces.write(request, "no-answer-at-deadline");
-      turns.event(
-          () -> {
-            dispatcher.abandoned(clock.now(), request.job.id());
-            release(request);
-          });
+      dispatcher.abandoned(clock.now(), request.job.id());
+      release(request);
     }
   }
 
