Leave connections whose responses wait out of the reads before timers

They carry a request as busy ones do. No test of its own: reading them early changes nothing a test could see.

--- a/node/src/main/java/ferngrade/http/ConnectionTable.java
+++ b/node/src/main/java/ferngrade/http/ConnectionTable.java
@@ -170,8 +170,8 @@
   }
 
   /**
-   * Accepts and reads what has come and the event loop has not come to read. Connections that are
-   * busy, or close, are left out: what follows on them has to wait in any case.
+   * Accepts and reads what has come and the event loop has not come to read. Connections that carry
+   * a request, or close, are left out: what follows on them has to wait in any case.
    */
   void readPending() {
     acceptSwitch.acceptWaiting(this::accepted, this::hasPlace);
@@ -183,8 +183,10 @@
   }
 
   private static boolean awaitsRequest(ManagedConnection connection) {
-    return connection.state() != ConnectionState.BUSY
-        && connection.state() != ConnectionState.CLOSING;
+    return switch (connection.state()) {
+      case UNREAD, RESTING, RECEIVING -> true;
+      case BUSY, RESPONDING, CLOSING -> false;
+    };
   }
 
   // ---- Who gives way ----
