Pass over a call back whose caller has gone and that another process's decision may follow

Operators: enable at a process that was held up got no answer within its second; disable at another process was answered yes; the first process then read the enable, gave it the next version and undid the later call. Cause: a call got its version when it was handled, not by when it came. Change: a call back is passed over if its caller has closed its connection and another process's decision on that worker was taken over since the call may have come.

--- a/node/src/main/java/ferngrade/http/AdminHandler.java
+++ b/node/src/main/java/ferngrade/http/AdminHandler.java
@@ -227,6 +227,10 @@
       return;
     }
     String worker = QueryStringDecoder.decodeComponent(path.substring(WORKERS.length(), slash));
+    if (!out && calls.mayBeSuperseded(worker, arrived) && !readPending()) {
+      calls.passOver(worker);
+      return;
+    }
     String change = (out ? "taken out: " : "taken back: ") + worker;
     calls.maintain(
         worker,
--- a/node/src/main/java/ferngrade/http/OperatorCalls.java
+++ b/node/src/main/java/ferngrade/http/OperatorCalls.java
@@ -160,6 +160,23 @@
     NOT_STORED_YET
   }
 
+  /**
+   * True if another process's decision on this worker may be later than a call that may have come
+   * as early as {@code arrived}, ms on the clock.
+   */
+  boolean mayBeSuperseded(String worker, double arrived) {
+    refresh();
+    return state != null && state.decidedElsewhereSince(worker, arrived);
+  }
+
+  /** A call back is passed over: its caller has gone, and another process has decided since. */
+  void passOver(String worker) {
+    log.line(
+        "menu worker "
+            + worker
+            + " is not taken back: the caller has gone, and another process has decided since");
+  }
+
   /**
    * Takes a worker out, or back; {@code answer} gets the outcome, {@link #STORE_TIMEOUT} after
    * {@code arrived} if it is not stored by then. A change that is stored later is reported then;
--- a/node/src/main/java/ferngrade/node/OperatorState.java
+++ b/node/src/main/java/ferngrade/node/OperatorState.java
@@ -14,6 +14,12 @@
    */
   void storeMaintenance(String worker, Runnable stored);
 
+  /**
+   * True if another process's decision on this worker was taken over here at {@code instant}, ms on
+   * the clock, or later.
+   */
+  boolean decidedElsewhereSince(String worker, double instant);
+
   /** Drains the node or ends that, in every process of it. */
   void drain(boolean drained);
 
--- a/node/src/main/java/ferngrade/server/SharedState.java
+++ b/node/src/main/java/ferngrade/server/SharedState.java
@@ -19,7 +19,9 @@
 import ferngrade.node.Timers;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 
@@ -75,6 +77,9 @@
   private DrainRecord drain = DrainRecord.NONE;
   private InetSocketAddress ownAddress;
 
+  /** When another process's decision on a worker was last taken over, ms on the clock. */
+  private final Map<String, Double> decidedElsewhere = new HashMap<>();
+
   /**
    * Since when the log holds the record of this process, ms on the clock; infinite while it does
    * not. The others could append theirs as well by then.
@@ -255,6 +260,9 @@
 
   private void apply(MaintenanceEntry decision) {
     boolean isNew = coordinator.mergeMaintenance(decision, lastRefresh);
+    if (isNew) {
+      decidedElsewhere.put(decision.worker(), clock.now());
+    }
     // Those of before the start are summed up in one line.
     if (isNew && earlierDecisions == null) {
       log.line(
@@ -300,6 +308,11 @@
         MaintenanceCodec.write(coordinator.savedMaintenance()), () -> loop.execute(both));
   }
 
+  @Override
+  public boolean decidedElsewhereSince(String worker, double instant) {
+    return decidedElsewhere.getOrDefault(worker, Double.NEGATIVE_INFINITY) >= instant;
+  }
+
   @Override
   public void drain(boolean drained) {
     drain = drain.next(drained);
--- a/node/src/test/java/ferngrade/server/UnreadConnectionsTest.java
+++ b/node/src/test/java/ferngrade/server/UnreadConnectionsTest.java
@@ -1,11 +1,14 @@
 package ferngrade.server;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import ferngrade.config.SharedRecordCodec;
 import ferngrade.http.ConnectionLimits;
 import ferngrade.http.RawHttp;
 import ferngrade.node.FaultInjectingFileOperations;
 import ferngrade.node.FaultInjectingFileOperations.Operation;
+import ferngrade.node.MaintenanceEntry;
 import ferngrade.transport.PendingReads;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -42,6 +45,8 @@
   private static final String NOT_STORED_YET = "503";
   private static final String DISABLE =
       RawHttp.message("POST /-/menu-workers/s-1/disable HTTP/1.1", "");
+  private static final String ENABLE =
+      RawHttp.message("POST /-/menu-workers/s-1/enable HTTP/1.1", "");
 
   private static int awaited(int sockets) {
     return ConnectionLimits.within(sockets, MEMORY_MB).awaited();
@@ -163,6 +168,33 @@
     assertEquals(outcome(call), NOT_STORED_YET);
   }
 
+  @DataProvider
+  public Object[][] callersBack() {
+    return new Object[][] {{"has gone", 1}, {"waits", 0}};
+  }
+
+  /** Fails where a call that nobody waits for any more undoes a later one at another process. */
+  @Test(dataProvider = "callersBack")
+  public void callBackThatWasReadBehindALaterDecisionCountsOnlyIfItsCaller(String how, int out)
+      throws Exception {
+    start(64);
+    assertEquals(outcome(connect(node.adminAddress(), DISABLE)), YES);
+    RawHttp other = connect(node.adminAddress(), "");
+    RawHttp call = connect(node.adminAddress(), "");
+    settled();
+    hold();
+    String record = SharedRecordCodec.write(new MaintenanceEntry("s-1", 5, true, 0));
+    other.write(RawHttp.message("POST /-/state HTTP/1.1", record));
+    call.write(ENABLE);
+    if (how.equals("has gone")) {
+      call.close();
+    }
+    release.countDown();
+    settled();
+    RawHttp metrics = connect(node.adminAddress(), "GET /-/metrics HTTP/1.1\r\n\r\n");
+    assertTrue(metrics.read().body().contains("menu_workers_excluded=" + out + "\n"), how);
+  }
+
   @DataProvider
   public Object[][] parts() {
     return new Object[][] {{FIRST_LINE}, {PART_OF_A_LINE}};
