Pass on each record of the shared log once though one is polled for within another

Found by review, in the relays that read the log first: a drain read from the log has idle connections read, a callback there is relayed, and that polls the log again within the poll. The two share their buffer: a record was lost and another passed on twice. Change: a poll within a poll does nothing, and the log is not current meanwhile, so that such a callback is answered 503. Evidence: the new case of SharedLogTest, written by the review, failed before (a, a, c for a, b, c) and passes; AdminIntegrationTest and UpgradePeersTest pass.

--- a/node/src/main/java/ferngrade/node/SharedLog.java
+++ b/node/src/main/java/ferngrade/node/SharedLog.java
@@ -84,6 +84,9 @@
   private long position;
   private boolean readFailed;
 
+  /** True while records are passed on: what that sets off may ask for what has come, too. */
+  private boolean polling;
+
   /** Whether the folder is known to hold the file's name durably; belongs to the scheduler. */
   private boolean nameSynced;
 
@@ -148,7 +151,7 @@
   public boolean current() {
     FollowedFile file = followed;
     try {
-      return file != null && !readFailed && file.isAt(path);
+      return file != null && !polling && !readFailed && file.isAt(path);
     } catch (IOException unknown) {
       return false;
     }
@@ -204,12 +207,24 @@
     }
   }
 
-  /** Passes on the records that have been appended since the last call. */
+  /**
+   * Passes on the records that have been appended since the last call. A call from within does
+   * nothing: the one in progress passes on what there is, in its order.
+   */
   public void poll() {
     FollowedFile file = followed;
-    if (file == null) {
+    if (file == null || polling) {
       return;
     }
+    polling = true;
+    try {
+      passOn(file);
+    } finally {
+      polling = false;
+    }
+  }
+
+  private void passOn(FollowedFile file) {
     try {
       long size = file.size();
       if (size < position) {
--- a/node/src/test/java/ferngrade/node/SharedLogTest.java
+++ b/node/src/test/java/ferngrade/node/SharedLogTest.java
@@ -65,6 +65,38 @@
     assertEquals(List.of("a", "b"), new Follower().records);
   }
 
+  /** Fails where a poll within the handling of a record spoils the poll that passed it on. */
+  @Test
+  void recordsPolledWhileAnotherIsHandledAreNotLost() {
+    Follower writer = new Follower();
+    List<String> records = new ArrayList<>();
+    SharedLog[] nested = new SharedLog[1];
+    nested[0] =
+        new SharedLog(
+            PATH,
+            files,
+            (task, delay) -> scheduled.add(task),
+            (task, delay) -> appends.add(task),
+            Runnable::run,
+            logged::add,
+            record -> {
+              records.add(record);
+              if (records.equals(List.of("a"))) {
+                writer.log.append("c".repeat(40), () -> {});
+                runScheduled();
+                nested[0].poll();
+              }
+            },
+            () -> {});
+    nested[0].open(true);
+    writer.log.append("a", () -> {});
+    writer.log.append("b", () -> {});
+    runScheduled();
+    nested[0].poll();
+    nested[0].poll();
+    assertEquals(List.of("a", "b", "c".repeat(40)), records, logged::toString);
+  }
+
   @Test
   void recordIsReportedStoredOnlyOnceTheDiskHasTaken() {
     Follower follower = new Follower();
