End a process behind the answers that are due in the same turn of its event loop

Callers of a node that is stopped: requests that it had accepted got no answer, their connections closed. Cause: answers are due 0.1 s before the budget's end. A loop that is held up over both runs both timers together: guards queue their answers for the turn's events, and the end halted the process at once. A hold-up of 0.1 s is less than the 0.15 s that a node has to bear. Change: FrontendShutdown queues the end behind what is queued, so that the answers are written first; the process ends in the same turn. Evidence: the new case of ShutdownTest failed before ('still open: 1 requests ACCEPTED_BY_WORKER') and passes.

--- a/node/src/main/java/ferngrade/http/FrontendShutdown.java
+++ b/node/src/main/java/ferngrade/http/FrontendShutdown.java
@@ -2,6 +2,7 @@
 
 import ferngrade.node.Clock;
 import ferngrade.node.Timers;
+import java.util.concurrent.Executor;
 import java.util.function.IntSupplier;
 
 /**
@@ -20,6 +21,7 @@
   private final Listening listening;
   private final Clock clock;
   private final Timers timers;
+  private final Executor loop;
   private Phase phase = Phase.SERVING;
 
   /** Null while no shutdown has been requested. */
@@ -55,12 +57,14 @@
       IntSupplier jobsInFlight,
       Listening listening,
       Clock clock,
-      Timers timers) {
+      Timers timers,
+      Executor loop) {
     this.connections = connections;
     this.jobsInFlight = jobsInFlight;
     this.listening = listening;
     this.clock = clock;
     this.timers = timers;
+    this.loop = loop;
   }
 
   /** True until a shutdown is requested. */
@@ -147,7 +151,8 @@
     if (phase != Phase.ENDED) {
       phase = Phase.ENDED;
       listening.close();
-      whenDone.run();
+      // In a process that was held up answers are due in this turn, too: they are written first.
+      loop.execute(whenDone);
     }
   }
 
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -91,7 +91,7 @@
             acceptSwitch,
             new ConnectionTable.Surroundings(clock, timers, loop, closes));
     this.shutdown =
-        new FrontendShutdown(connections, () -> jobsInFlight, listening(), clock, timers);
+        new FrontendShutdown(connections, () -> jobsInFlight, listening(), clock, timers, loop);
   }
 
   private int acceptsAtOnce() {
--- a/node/src/test/java/ferngrade/server/ShutdownTest.java
+++ b/node/src/test/java/ferngrade/server/ShutdownTest.java
@@ -1,6 +1,7 @@
 package ferngrade.server;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertSame;
 import static org.testng.Assert.assertThrows;
@@ -40,10 +41,13 @@
   private static final String DONE = "\"state\":\"done\",\"result\":\"soup\"";
   private static final String STOPPING = "stopping";
   private static final String ACCEPTED_ALL = "no more jobs are accepted";
+  private static final String SHUTDOWN_ENDS = "shutdown ends";
   private static final List<String> KINDS = List.of("order", "plan", "draft");
 
   private final Map<String, Hold> holds = new ConcurrentHashMap<>();
 
+  private volatile String end;
+
   /** All connections of a test's clients and of its worker: they stay open until it is over. */
   private final List<RawHttp> connections = new ArrayList<>();
 
@@ -74,6 +78,7 @@
   }
 
   private void logged(String line) {
+    end = line.startsWith(SHUTDOWN_ENDS) ? line : end;
     Hold hold = holds.remove(line);
     if (hold != null) {
       hold.atReached.run();
@@ -299,6 +304,24 @@
     over(stopped);
   }
 
+  /** Fails where a process that was held up ends before it writes the answers that it owes. */
+  @Test
+  public void answersThatAreDueInTheTurnOfTheEndAreWrittenFirst() throws Exception {
+    start(9000);
+    RawHttp client = connect().write(request("a", "order", 9000));
+    readJob(TAKEN);
+    double signalled = now;
+    Hold accepted = hold(ACCEPTED_ALL);
+    CompletableFuture<Void> stopped = stopInBackground(0, 0);
+    accepted.reached.await();
+    accepted.released.countDown();
+    settled();
+    now = signalled + 3700 - HELD_UP;
+    over(stopped);
+    assertFalse(end.contains("requests"), end);
+    assertEquals(client.read().status(), FAILED);
+  }
+
   @Test
   public void processIsEndedByTheEventLoopItself() throws Exception {
     start(9000);
