Test shutdowns of a process that is held up for 0.3 and 1 s at its SIGTERM, too

HeldUpShutdownTest stopped the process for 0.5 s only. Cause: none, tests only. Change: the test takes its length as a parameter, 300, 500 and 1,000 ms.

--- a/faulttest/src/test/java/ferngrade/faulttest/upgrade/HeldUpShutdownTest.java
+++ b/faulttest/src/test/java/ferngrade/faulttest/upgrade/HeldUpShutdownTest.java
@@ -10,8 +10,9 @@
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against requests lost where a process is held up while its SIGTERM comes. */
 @ExtendWith(SkipKnownFailures.class)
@@ -24,12 +25,13 @@
 
   private static final String DEADLINE = "3000m";
 
-  /** How long the process is stopped, the signal coming at the beginning, ms. */
-  private static final double STOPPED = 500;
-
-  /** When the last requests are written, and when SIGKILL comes, ms after SIGTERM. */
+  /** When the last requests are written at the earliest, ms after SIGTERM. */
   private static final double REQUESTED = 800;
 
+  /** The same after the process runs again, ms: it still accepts requests then. */
+  private static final double REQUESTED_BEHIND = 300;
+
+  /** When SIGKILL comes, ms after SIGTERM. */
   private static final double KILLED = 3700;
 
   private UpgradeRun run;
@@ -48,8 +50,10 @@
     run.close();
   }
 
-  @Test
-  void requestsAreAnsweredBeforeTheKillThatFollowsTheTrueSignal() throws Exception {
+  /** {@code stopped}: for how long the process is stopped from its SIGTERM on, ms. */
+  @ParameterizedTest
+  @ValueSource(doubles = {300, 500, 1000})
+  void requestsAreAnsweredBeforeTheKillThatFollowsTheTrueSignal(double stopped) throws Exception {
     ServingProcess process = run.start();
     run.awaitReady(process);
     List<HttpConnection> clients = new ArrayList<>();
@@ -59,9 +63,9 @@
     run.signal(process, "STOP");
     run.signal(process, "TERM");
     double signalled = run.observations().now();
-    sleepUntil(signalled + STOPPED);
+    sleepUntil(signalled + stopped);
     run.signal(process, "CONT");
-    sleepUntil(signalled + REQUESTED);
+    sleepUntil(signalled + Math.max(REQUESTED, stopped + REQUESTED_BEHIND));
     List<Boolean> written = new ArrayList<>();
     for (int i = 0; i < CLIENTS; i++) {
       written.add(write(clients.get(i), CLIENTS + i));
