--- a/node/src/test/java/ferngrade/config/NodeConfigTest.java
+++ b/node/src/test/java/ferngrade/config/NodeConfigTest.java
@@ -1,6 +1,8 @@
 package ferngrade.config;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import com.eclipsesource.json.Json;
@@ -45,6 +47,19 @@
     assertEquals(member.worker().startedAt(), 7.0);
   }
 
+  /** Guards against an unchanged file being reported as changed, and the other way round. */
+  @Test
+  public void settingsAreComparedByPathWhateverTheirOrder() throws ConfigException {
+    NodeConfig config = NodeConfig.read(Json.parse(GOOD).asObject());
+    String reordered =
+        GOOD.replace("\"Me\":1,", "")
+            .replace("\"Locality\":1,", "\"Locality\":1,\"Me\":1,")
+            .replace("8500", "8501");
+    String changed = GOOD.replace("\"GoalTime\":750.0", "\"GoalTime\":751.0");
+    assertTrue(NodeConfig.read(Json.parse(reordered).asObject()).settingsWrittenAs(config));
+    assertFalse(NodeConfig.read(Json.parse(changed).asObject()).settingsWrittenAs(config));
+  }
+
   @Test
   public void listEntriesThatCannotBeUsedAreLeftOutAndTold() {
     EndpointListParser.MemberList list =
