--- a/review/1/HalfRequests.java
+++ b/review/1/BadClients.java
@@ -8,21 +8,27 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Usual clients hand in jobs while bad clients stop in the middle of a request and stay, each again
- * the moment it is turned away. Every job that a menu worker has run needs an answer.
+ * Usual clients hand in jobs while bad clients stop in the middle of a request and stay, or send a
+ * hundred requests at once, each again the moment it is turned away. Every job that a menu worker
+ * has run needs an answer.
  */
-public final class HalfRequests {
+public final class BadClients {
   private static final int USUAL_CLIENTS = 10;
   private static final long PAUSE_BETWEEN_JOBS_MILLIS = 50;
   private static final long RUN_MILLIS = 300;
 
-  /** Bad clients: fewer than a third of the node's 1,024 descriptors. */
-  private static final int BAD_CLIENTS = 200;
+  /** All clients together hold fewer than a third of the node's 576 descriptors. */
+  private static final int HALF_REQUEST_CLIENTS = 150;
 
-  /** The length that a bad client announces, the largest that the protocol allows, in bytes. */
-  private static final int ANNOUNCED_BYTES = 64 << 10;
+  private static final int MANY_REQUESTS_CLIENTS = 4;
+  private static final int REQUESTS_AT_ONCE = 100;
 
+  /** The length of a bad client's body, the largest that the protocol allows, in bytes. */
+  private static final int BODY_BYTES = 64 << 10;
+
+  /** The part of it that a client sends which stops in the middle. */
   private static final int SENT_BYTES = 60_000;
+
   private static final int BAD_CLIENT_TIMEOUT_MILLIS = 5_000;
   private static final long QUIET_MILLIS = 1_000;
   private static final long TROUBLE_MILLIS = 20_000;
@@ -31,20 +37,20 @@
   private final Set<String> sentIds = MenuWorker.newIdSet();
   private final AtomicInteger lastId = new AtomicInteger();
   private final ConcurrentLinkedQueue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
-  private final AtomicInteger turnedAway = new AtomicInteger();
+  private final AtomicInteger badAnswers = new AtomicInteger();
   private final AtomicInteger badWithoutAnswer = new AtomicInteger();
   private volatile boolean troubleOver;
 
   private record Outcome(Job job, UsualClient.Answer answer) {}
 
-  private HalfRequests(RunRecord record) {
+  private BadClients(RunRecord record) {
     this.record = record;
   }
 
   public static void main(String[] arguments) throws IOException {
     ReviewCase.run(
         arguments,
-        (deployment, record, trouble) -> new HalfRequests(record).run(deployment, trouble));
+        (deployment, record, trouble) -> new BadClients(record).run(deployment, trouble));
   }
 
   private boolean run(Deployment deployment, boolean trouble) throws Exception {
@@ -58,8 +64,10 @@
       node.awaitReady();
       List<Thread> usual = startThreads(USUAL_CLIENTS, () -> handInJobs(listen));
       Thread.sleep(QUIET_MILLIS);
-      record.line("trouble begins: %s", trouble ? BAD_CLIENTS + " bad clients" : "none");
-      List<Thread> bad = startThreads(trouble ? BAD_CLIENTS : 0, () -> sendHalfRequests(listen));
+      record.line("bad clients begin: %b", trouble);
+      List<Thread> bad =
+          startThreads(trouble ? HALF_REQUEST_CLIENTS : 0, () -> sendHalfRequests(listen));
+      bad.addAll(startThreads(trouble ? MANY_REQUESTS_CLIENTS : 0, () -> sendManyRequests(listen)));
       Thread.sleep(TROUBLE_MILLIS);
       troubleOver = true;
       for (Thread thread : usual) {
@@ -107,30 +115,66 @@
       Job job = newJob("lake-side", half);
       try (Connection connection = new Connection(node, BAD_CLIENT_TIMEOUT_MILLIS)) {
         connection.writeText(
-            job.head() + "\r\nContent-Length: " + ANNOUNCED_BYTES + "\r\n\r\n" + half);
+            job.head() + "\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n" + half);
         HttpMessage answer = connection.read();
-        (answer == null ? badWithoutAnswer : turnedAway).incrementAndGet();
+        (answer == null ? badWithoutAnswer : badAnswers).incrementAndGet();
+      } catch (IOException closedOrLate) {
+        badWithoutAnswer.incrementAndGet();
+      }
+    }
+  }
+
+  private void sendManyRequests(String node) {
+    String body = "y".repeat(BODY_BYTES);
+    while (!troubleOver) {
+      try (Connection connection = new Connection(node, BAD_CLIENT_TIMEOUT_MILLIS)) {
+        LoopbackServer.daemon(() -> writeRequests(connection, body));
+        while (!troubleOver && connection.read() != null) {
+          badAnswers.incrementAndGet();
+        }
       } catch (IOException closedOrLate) {
         badWithoutAnswer.incrementAndGet();
       }
     }
   }
 
+  private void writeRequests(Connection connection, String body) {
+    try {
+      for (int i = 0; i < REQUESTS_AT_ONCE; i++) {
+        Job job = newJob("lake-side", body);
+        connection.write(job.head(), job.body());
+      }
+    } catch (IOException closed) {
+      // The node has closed the connection.
+    }
+  }
+
   private boolean judge(List<MenuWorker> workers, NodeProcess node) {
     Set<String> run = MenuWorker.newIdSet();
     workers.forEach(worker -> worker.runs().forEach(one -> run.add(one.requestId())));
     int lost = 0;
     for (Outcome outcome : outcomes) {
-      // A job that no menu worker has run may not have been taken; only the others count.
-      if (run.contains(outcome.job().id()) && outcome.answer().kind() != UsualClient.Kind.ANSWERED) {
-        record.line("LOST: %s ran, its client got: %s", outcome.job().id(), outcome.answer());
+      if (isLost(outcome, run)) {
+        record.line("LOST: %s got: %s", outcome.job().id(), outcome.answer());
         lost++;
       }
     }
     record.line(
-        "%d jobs of usual clients, %d of them run and lost; bad clients: %d times turned away, %d"
-            + " times not; node alive: %b",
-        outcomes.size(), lost, turnedAway.get(), badWithoutAnswer.get(), node.alive());
+        "%d jobs of usual clients, %d of them lost; bad clients: %d answers, %d times none;"
+            + " node alive: %b",
+        outcomes.size(), lost, badAnswers.get(), badWithoutAnswer.get(), node.alive());
     return lost == 0 && node.alive();
   }
+
+  /**
+   * A job is lost without an answer half a second after its time. One whose connection is closed
+   * before that counts only if a menu worker has run it: the node has certainly read it then.
+   */
+  private static boolean isLost(Outcome outcome, Set<String> run) {
+    return switch (outcome.answer().kind()) {
+      case NOT_IN_TIME -> true;
+      case CLOSED -> run.contains(outcome.job().id());
+      case ANSWERED, NOT_CONNECTED -> false;
+    };
+  }
 }
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,7 +4,7 @@
 root=$(cd "$here/../.." && pwd)
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 5 110 java -cp "$root/review/standins/target" ferngrade.review.HalfRequests "$root" "$here" "$folder"
+timeout -k 5 110 java -cp "$root/review/standins/target" ferngrade.review.BadClients "$root" "$here" "$folder"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standins/src/ferngrade/review/Deployment.java
+++ b/review/standins/src/ferngrade/review/Deployment.java
@@ -10,10 +10,10 @@
 
 /** The files of a small deployment like kandy-menus: the command of a node, its configuration. */
 public final class Deployment {
-  /** The memory and the descriptors of a node, the limits on the scored days. */
-  private static final int MEMORY_MB = 192;
+  /** The memory of a node; the scored days allow up to 192 MB and 1,024 descriptors. */
+  private static final int MEMORY_MB = 152;
 
-  private static final int DESCRIPTORS = 1024;
+  private static final int DESCRIPTORS = 576;
 
   private final Path root;
   private final Path folder;
