--- a/review/2/ReusedId.java
+++ b/review/2/ReusedId.java
@@ -15,8 +15,8 @@
 public final class ReusedId {
   private static final long RUN_MILLIS = 2_000;
 
-  /** The time from the order to SIGTERM, and from SIGTERM to the bad client's request. */
-  private static final long STEP_MILLIS = 300;
+  /** The time from the order to SIGTERM. */
+  private static final long ORDER_HEAD_START_MILLIS = 300;
 
   private static final int BAD_CLIENT_TIMEOUT_MILLIS = 8_000;
   private static final long ANSWER_TIMEOUT_SECONDS = 30;
@@ -69,10 +69,11 @@
     record.line("usual client sends %s (%s)", ORDER.id(), ORDER.body());
     CompletableFuture<UsualClient.Answer> answer =
         CompletableFuture.supplyAsync(() -> sendOrder(client));
-    Thread.sleep(STEP_MILLIS);
+    Thread.sleep(ORDER_HEAD_START_MILLIS);
     record.line("upgrade: SIGTERM to process %d", earlier.pid());
     earlier.signal("TERM");
-    Thread.sleep(STEP_MILLIS);
+    // From then on the other process accepts all connections.
+    earlier.awaitNotReady();
     int copyStatus = trouble ? sendCopy(socket.address()) : 0;
     record.line("usual client: %s", answer.get(ANSWER_TIMEOUT_SECONDS, TimeUnit.SECONDS));
     return copyStatus;
--- a/review/standins/src/ferngrade/review/NodeProcess.java
+++ b/review/standins/src/ferngrade/review/NodeProcess.java
@@ -55,6 +55,13 @@
     }
   }
 
+  /** Waits until the node says that it is not ready, or no longer answers. */
+  public void awaitNotReady() throws InterruptedException {
+    while (call("GET", "/-/ready") == 200) {
+      Thread.sleep(READY_POLL_MILLIS);
+    }
+  }
+
   /** Makes a call without a body and returns the status of the answer, 0 if there is none. */
   public int call(String method, String path) {
     try (Connection connection = new Connection(address, CALL_TIMEOUT_MILLIS)) {
