--- a/review/1/BadClients.java
+++ b/review/1/BadClients.java
@@ -9,8 +9,8 @@
 
 /**
  * Usual clients hand in jobs while bad clients stop in the middle of a request and stay, or send a
- * hundred requests at once, each again the moment it is turned away. Every job that a menu worker
- * has run needs an answer.
+ * hundred requests at once, each again the moment it is turned away. Every job that the node has
+ * taken needs an answer.
  */
 public final class BadClients {
   private static final int USUAL_CLIENTS = 10;
