--- a/review/standins/src/ferngrade/review/ReviewCase.java
+++ b/review/standins/src/ferngrade/review/ReviewCase.java
@@ -19,12 +19,12 @@
     boolean run(Deployment deployment, RunRecord record, boolean trouble) throws Exception;
   }
 
-  /** Runs a case from its script's arguments: the root, the case's folder, a temporary folder. */
+  /** Runs a case from its script's arguments: the root, the record, a temporary folder. */
   public static void run(String[] arguments, Steps steps) throws IOException {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Path folder = Path.of(arguments[2]);
     int exitCode;
-    try (RunRecord record = new RunRecord(Path.of(arguments[1], "record.txt"))) {
+    try (RunRecord record = new RunRecord(Path.of(arguments[1]))) {
       try {
         boolean held = steps.run(new Deployment(Path.of(arguments[0]), folder), record, trouble);
         record.line("%s", held ? "the rule held" : "THE RULE WAS BROKEN");
--- a/review/standins/src/ferngrade/review/SharedSocket.java
+++ b/review/standins/src/ferngrade/review/SharedSocket.java
@@ -47,7 +47,7 @@
     launcher = builder.start();
     commands = launcher.outputWriter(StandardCharsets.UTF_8);
     BufferedReader reports = launcher.inputReader(StandardCharsets.UTF_8);
-    address = "127.0.0.1:" + reports.readLine();
+    address = Deployment.loopback(Integer.parseInt(reports.readLine()));
     LoopbackServer.daemon(() -> readReports(reports));
   }
 
