Bound what peers hold in memory by one sum, and keep it out of the direct memory

Cause: everything read or written waited in direct memory, of which the command grants 12 MB. Limits were counts derived from limits.memory_mb; nothing bounded their sum, nor read buffers pinned by slices, headers, or unread responses. Evidence: account on before the first failed reservation: partial bodies 5,462,719 bytes in 7.4 MB, queued 4,128,768, pool active 11,665,408 of 11,665,408 used, direct memory 11,673,609 of 12,582,912. Change: channels use heap buffers; MemoryBudget reserves what is held for peers (partial and queued requests with headers, jobs, unread responses, relays) within the smaller of a share of the configured memory and a quarter of the heap; on shortage partial requests give way first. Why it works: direct memory is only taken within a system call, and what is held is counted after each read of at most 16 KiB, before the next one.

--- a/emulator/src/main/java/ferngrade/emulator/VirtualNode.java
+++ b/emulator/src/main/java/ferngrade/emulator/VirtualNode.java
@@ -7,6 +7,7 @@
 import ferngrade.emulator.Request.Answer;
 import ferngrade.node.Endpoint;
 import ferngrade.node.JobRequest;
+import ferngrade.node.MemoryBudget;
 import ferngrade.node.RateLimitedLog;
 import ferngrade.node.RequestCoordinator;
 import ferngrade.node.ResponseHandler;
@@ -28,7 +29,7 @@
 
   /** Limits that are high enough never to be reached: these runs do not model a node's memory. */
   private static final RequestCoordinator.RequestLimits REQUEST_LIMITS =
-      new RequestCoordinator.RequestLimits(200_000, 1L << 40, 500);
+      new RequestCoordinator.RequestLimits(200_000, MemoryBudget.unlimited(), 500);
 
   final int number;
   final int zone;
--- a/node/src/main/java/ferngrade/http/AdminHandler.java
+++ b/node/src/main/java/ferngrade/http/AdminHandler.java
@@ -66,6 +66,7 @@
     pipeline.addLast(
         byteCounter(),
         new HttpServerCodec(),
+        new ContentCopier(),
         new HttpObjectAggregator(AdminServer.MAX_CALL_BYTES),
         this);
   }
--- a/node/src/main/java/ferngrade/http/AdminServer.java
+++ b/node/src/main/java/ferngrade/http/AdminServer.java
@@ -4,6 +4,7 @@
 import ferngrade.node.Timers;
 import ferngrade.transport.ChannelProvider;
 import ferngrade.transport.ChannelProvider.Purpose;
+import ferngrade.transport.HeapBufferAllocator;
 import ferngrade.transport.PendingReads;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -113,6 +114,7 @@
             .group(group)
             .channelFactory(() -> channels.listener(Purpose.ADMIN, null))
             .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.ALLOCATOR, HeapBufferAllocator.INSTANCE)
             .handler(
                 new ChannelInitializer<Channel>() {
                   @Override
--- a/node/src/main/java/ferngrade/http/BodyAggregator.java
+++ b/node/src/main/java/ferngrade/http/BodyAggregator.java
@@ -1,7 +1,9 @@
 package ferngrade.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -21,6 +23,9 @@
    */
   private static final int MAX_PARTS = 16;
 
+  /** True while the content of a request that is too large is dropped. */
+  private boolean dropping;
+
   BodyAggregator(int maxBody) {
     super(maxBody, true);
     setMaxCumulationBufferComponents(MAX_PARTS);
@@ -39,8 +44,20 @@
     return usable ? super.newContinueResponse(start, maxBody, pipeline) : null;
   }
 
+  @Override
+  protected FullHttpMessage beginAggregation(HttpMessage start, ByteBuf content) throws Exception {
+    dropping = false;
+    return super.beginAggregation(start, content);
+  }
+
+  /** Returns true while the content of a request is dropped as it arrives. */
+  boolean dropping() {
+    return dropping;
+  }
+
   @Override
   protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+    dropping = true;
     ctx.fireUserEventTriggered(TOO_LARGE);
   }
 }
--- a/node/src/main/java/ferngrade/http/ClientConnection.java
+++ b/node/src/main/java/ferngrade/http/ClientConnection.java
@@ -1,5 +1,6 @@
 package ferngrade.http;
 
+import ferngrade.node.MemoryBudget;
 import ferngrade.transport.PendingReads;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -22,6 +23,9 @@
  * response. Confined to the event loop.
  */
 final class ClientConnection implements ManagedConnection {
+  /** The memory of a response without its body, in bytes. */
+  private static final int RESPONSE_HEAD_BYTES = 512;
+
   private final HttpFrontend frontend;
   private final ConnectionTable<ClientConnection> connections;
   private final ClientRequestHandler requests;
@@ -33,6 +37,9 @@
    */
   private final double acceptedSince;
 
+  /** The memory of a response that the peer has not read. */
+  private final MemoryBudget.Reservation unreadResponse;
+
   private Channel channel;
   private ConnectionState state = ConnectionState.UNREAD;
 
@@ -63,6 +70,7 @@
     this.requests = requests;
     this.handler = handler;
     this.acceptedSince = acceptedSince;
+    this.unreadResponse = frontend.memory().newReservation(MemoryBudget.Use.RESPONSES);
   }
 
   /** Registers the accepted connection. */
@@ -237,6 +245,7 @@
     if (!keepAlive) {
       response.headers().set(HttpHeaderNames.CONNECTION, "close");
     }
+    int responseBytes = RESPONSE_HEAD_BYTES + response.content().readableBytes();
     ChannelFuture written = channel.writeAndFlush(response);
     if (written.isDone()) {
       // With many responses in a row, a listener would run in a later task of the event loop.
@@ -245,6 +254,7 @@
     }
     state = ConnectionState.RESPONDING;
     connections.awaitPeer(this);
+    unreadResponse.resize(responseBytes);
     if (!keepAlive) {
       // Requests that can no longer be answered are not read.
       endReading();
@@ -253,6 +263,7 @@
   }
 
   private void written(boolean success, boolean wasJob, boolean keepAlive) {
+    unreadResponse.release();
     if (wasJob) {
       frontend.jobEnded();
     }
@@ -314,6 +325,7 @@
     }
     state = ConnectionState.CLOSING;
     connections.awaitPeer(this);
+    handler.bytesReader().discardInput();
     ((DuplexChannel) channel).shutdownOutput();
     channel.config().setAutoRead(true);
   }
@@ -346,6 +358,22 @@
     }
   }
 
+  /**
+   * Frees the memory of input behind the request in progress, if there is any. The connection then
+   * closes after the response to the last complete request.
+   */
+  void discardPipelinedInput() {
+    RequestBytesReader reader = handler.bytesReader();
+    if (handlesRequest() && reader.holdsInput() && !reader.decoding()) {
+      requestClose();
+      reader.discardInput();
+      if (!readingEnded) {
+        // Only reading shows that a client has closed its connection.
+        channel.config().setAutoRead(true);
+      }
+    }
+  }
+
   @Override
   public void evict() {
     if (state == ConnectionState.RECEIVING) {
@@ -357,9 +385,7 @@
 
   private void rejectPartialRequest(HttpResponseStatus status, String body) {
     begin();
-    handler.bytesReader().endDecoding();
+    handler.bytesReader().discardInput();
     respondAndClose(status, body);
-    // Frees the memory of the request now and not only when the client closes.
-    channel.pipeline().remove(BodyAggregator.class);
   }
 }
--- a/node/src/main/java/ferngrade/http/ClientConnectionHandler.java
+++ b/node/src/main/java/ferngrade/http/ClientConnectionHandler.java
@@ -23,6 +23,7 @@
   private final ClientConnection connection;
   private final ClientRequestHandler requests;
   private final RateLimitedLog log;
+  private final BodyAggregator aggregator = new BodyAggregator(HttpFrontend.MAX_BODY_BYTES);
   private final RequestBytesReader bytesReader;
 
   /** The requests that have been read behind the request in progress. */
@@ -43,8 +44,9 @@
     this.connection = new ClientConnection(frontend, requests, this, acceptedSince);
     this.requests = requests;
     this.log = log;
-    this.bytesReader = new RequestBytesReader(connection, pacer, acceptedSince);
-    this.pipelined = new PipelinedRequests(frontend);
+    this.bytesReader =
+        new RequestBytesReader(connection, pacer, aggregator, frontend.memory(), acceptedSince);
+    this.pipelined = new PipelinedRequests(frontend.memory());
   }
 
   /** Adds the connection's codec and this handler to the end of a pipeline. */
@@ -53,7 +55,8 @@
         bytesReader,
         bytesReader.decoder(),
         new HttpResponseEncoder(),
-        new BodyAggregator(HttpFrontend.MAX_BODY_BYTES),
+        new ContentCopier(),
+        aggregator,
         this);
   }
 
--- a/node/src/main/java/ferngrade/http/ConnectionLimits.java
+++ b/node/src/main/java/ferngrade/http/ConnectionLimits.java
@@ -7,10 +7,8 @@
  * @param jobs the client connections with a job in flight
  * @param awaitedConnections the client connections whose request or close has not arrived yet
  * @param workers the connections opened to workers
- * @param waitingBytes the total size of the bodies of queued pipelined requests, in bytes
  */
-public record ConnectionLimits(
-    int clients, int jobs, int awaitedConnections, int workers, long waitingBytes) {
+public record ConnectionLimits(int clients, int jobs, int awaitedConnections, int workers) {
   /**
    * The file descriptors of the runtime itself, the listeners, discovery (two while its address
    * changes) and the peers.
@@ -50,7 +48,6 @@
         clients,
         (int) (JOB_SHARE * clients),
         Math.min((int) (AWAITED_SHARE * clients), bodies),
-        workers,
-        ((long) memoryMb << 20) / 32);
+        workers);
   }
 }
--- a/node/src/main/java/ferngrade/http/ConnectionTable.java
+++ b/node/src/main/java/ferngrade/http/ConnectionTable.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
 /**
@@ -280,6 +281,31 @@
     }
   }
 
+  /**
+   * Evicts connections until {@code enough} returns true, to free the memory of partial requests
+   * and of unread responses; {@code limit} is the exceeded limit in bytes. The candidates are not
+   * read once more, since that would take more memory.
+   */
+  void evictForMemory(BooleanSupplier enough, double limit) {
+    List<C> candidates =
+        Stream.of(
+                awaited.receivingUntrusted().stream(),
+                awaited.receiving().stream(),
+                awaited.respondingUntrusted().stream().filter(awaited::gracePeriodExpired),
+                awaited.responding().stream().filter(awaited::gracePeriodExpired),
+                awaited.respondingUntrusted().stream(),
+                awaited.responding().stream())
+            .flatMap(group -> group)
+            .distinct()
+            .toList();
+    for (C connection : candidates) {
+      if (enough.getAsBoolean()) {
+        return;
+      }
+      evict(connection, Reason.MEMORY_LIMIT, limit);
+    }
+  }
+
   /**
    * Evicts up to {@code count} of the candidates, but none whose state changes when it is read once
    * more.
@@ -300,7 +326,10 @@
   }
 
   private void evict(C connection, Reason reason) {
-    double limit = reason == Reason.AWAITED_LIMIT ? limits.awaited() : limits.open();
+    evict(connection, reason, reason == Reason.AWAITED_LIMIT ? limits.awaited() : limits.open());
+  }
+
+  private void evict(C connection, Reason reason, double limit) {
     forcedCloses.record(reason, limit, connection.snapshot(clock.now()));
     idle.remove(connection);
     awaited.remove(connection);
--- a/node/src/main/java/ferngrade/http/ForcedCloses.java
+++ b/node/src/main/java/ferngrade/http/ForcedCloses.java
@@ -22,6 +22,8 @@
     AWAITED_LIMIT,
     /** The number of open connections exceeds its limit. */
     CONNECTION_LIMIT,
+    /** The memory held for peers exceeds its limit. */
+    MEMORY_LIMIT,
     /** A request, or the peer's close, has not arrived in time. */
     TIMEOUT
   }
--- a/node/src/main/java/ferngrade/http/HealthCheckExchange.java
+++ b/node/src/main/java/ferngrade/http/HealthCheckExchange.java
@@ -52,6 +52,11 @@
     connection = carrier;
   }
 
+  @Override
+  boolean readsBody() {
+    return true;
+  }
+
   @Override
   void answered(FullHttpResponse response) {
     connection = null;
--- a/node/src/main/java/ferngrade/http/HttpExchange.java
+++ b/node/src/main/java/ferngrade/http/HttpExchange.java
@@ -37,6 +37,11 @@
   /** Called when the last byte of the request is written. */
   void written() {}
 
+  /** Returns true if the exchange uses the body of its response. */
+  boolean readsBody() {
+    return false;
+  }
+
   /** Called when the response is complete; the connection no longer carries the exchange. */
   abstract void answered(FullHttpResponse response);
 
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -2,11 +2,13 @@
 
 import ferngrade.http.AcceptSwitch.Reason;
 import ferngrade.node.Clock;
+import ferngrade.node.MemoryBudget;
 import ferngrade.node.RateLimitedLog;
 import ferngrade.node.RequestCoordinator;
 import ferngrade.node.Timers;
 import ferngrade.transport.ChannelProvider;
 import ferngrade.transport.ChannelProvider.Purpose;
+import ferngrade.transport.HeapBufferAllocator;
 import ferngrade.transport.PendingReads;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -21,12 +23,13 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 
 /**
  * Accepts the connections on which clients send jobs and workers send their callbacks. Counts the
- * jobs in flight and the buffered bytes of pipelined requests, and holds the draining state that
- * its connections query. {@link ConnectionTable} decides which connections must close, and {@link
- * FrontendShutdown} the order of a shutdown. Confined to the event loop.
+ * jobs in flight, and holds the draining state that its connections query. {@link ConnectionTable}
+ * decides which connections must close, and {@link FrontendShutdown} the order of a shutdown.
+ * Confined to the event loop.
  */
 public final class HttpFrontend {
   /** The maximum size of a request or response body, in bytes. */
@@ -36,7 +39,7 @@
 
   /**
    * The minimum size of the buffer for one read, in bytes. The next two constants are the initial
-   * and the maximum size. A connection may hold one read buffer of undecoded bytes.
+   * and the maximum size.
    */
   private static final int MIN_READ_BUFFER_BYTES = 64;
 
@@ -56,6 +59,7 @@
   static final double MAX_BACKLOG_WAIT_MILLIS = 500;
 
   private ConnectionLimits limits;
+  private final MemoryBudget memory;
   private final UpgradePeers upgradePeers;
   private final ChannelProvider channels;
   private final Clock clock;
@@ -70,11 +74,9 @@
   private boolean drainedByOperators;
   private int jobsInFlight;
 
-  /** The total size of the bodies of queued pipelined requests on all connections, in bytes. */
-  private long waitingBytes;
-
   public HttpFrontend(
       ConnectionLimits limits,
+      MemoryBudget memory,
       Clock clock,
       ArrivalClock arrivals,
       Timers timers,
@@ -84,6 +86,7 @@
       ForcedCloses forcedCloses) {
     this.forcedCloses = forcedCloses;
     this.limits = limits;
+    this.memory = memory;
     this.upgradePeers = upgradePeers;
     this.channels = channels;
     this.clock = clock;
@@ -97,6 +100,7 @@
             INPUT_TIMEOUT_MILLIS,
             acceptSwitch,
             new ConnectionTable.Dependencies(clock, timers, loop, forcedCloses));
+    memory.setReclaimer(this::reclaimMemory);
     this.shutdown =
         new FrontendShutdown(
             connections, () -> jobsInFlight, listenerControl(), clock, timers, loop);
@@ -106,6 +110,20 @@
     return acceptSwitch.acceptsAtOnce();
   }
 
+  /**
+   * Frees memory that peers hold and whose requests may still be refused. Requests that wait behind
+   * another one on their connection give way first, since clients send one request at a time.
+   */
+  private void reclaimMemory(BooleanSupplier enough) {
+    for (ClientConnection connection : connections.open()) {
+      if (enough.getAsBoolean()) {
+        return;
+      }
+      connection.discardPipelinedInput();
+    }
+    connections.evictForMemory(enough, (double) memory.limit());
+  }
+
   private static ConnectionTable.Limits tableLimits(ConnectionLimits limits) {
     return new ConnectionTable.Limits(limits.clients(), limits.awaitedConnections());
   }
@@ -140,6 +158,7 @@
           }
         });
     bootstrap
+        .childOption(ChannelOption.ALLOCATOR, HeapBufferAllocator.INSTANCE)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(
             ChannelOption.RECVBUF_ALLOCATOR,
@@ -294,6 +313,11 @@
     return forcedCloses;
   }
 
+  /** Returns the budget of the memory that the node holds for its peers. */
+  MemoryBudget memory() {
+    return memory;
+  }
+
   /** Returns the open connections of this frontend. */
   ConnectionTable<ClientConnection> connections() {
     return connections;
@@ -345,18 +369,4 @@
     connections.closed(connection);
     shutdown.advance();
   }
-
-  /**
-   * Reserves memory for the body of a queued request. Returns false if the limit would be exceeded.
-   */
-  boolean reserveWaitingBytes(int bytes) {
-    boolean fits = waitingBytes + bytes <= limits.waitingBytes();
-    waitingBytes += fits ? bytes : 0;
-    return fits;
-  }
-
-  /** Releases the reservation of a body that is no longer queued. */
-  void releaseWaitingBytes(int bytes) {
-    waitingBytes -= bytes;
-  }
 }
--- a/node/src/main/java/ferngrade/http/MetricsPage.java
+++ b/node/src/main/java/ferngrade/http/MetricsPage.java
@@ -3,6 +3,7 @@
 import ferngrade.dispatch.RejectionCause;
 import ferngrade.node.DurationBuckets;
 import ferngrade.node.LoopMonitor;
+import ferngrade.node.MemoryBudget;
 import ferngrade.node.NodeMetrics;
 import ferngrade.node.RejectionReason;
 import ferngrade.node.RequestCoordinator;
@@ -58,6 +59,12 @@
     durations(text, "timer_delay", loopMonitor.timerDelays());
     lines(text, "closed_clients.", ForcedCloses.Reason.values(), frontend.forcedCloses().counts());
     lines(text, "closed_operators.", ForcedCloses.Reason.values(), operatorCloses.counts());
+    MemoryBudget memory = frontend.memory();
+    line(text, "peer_memory.limit", memory.limit());
+    for (MemoryBudget.Use use : MemoryBudget.Use.values()) {
+      line(text, "peer_memory." + use.name().toLowerCase(Locale.ROOT), memory.reserved(use));
+    }
+    lines(text, "peer_memory_refused.", MemoryBudget.Use.values(), memory.refused());
     if (upgradePeers != null) {
       lines(text, "relayed.", UpgradePeers.RelayOutcome.values(), upgradePeers.relayed());
     }
--- a/node/src/main/java/ferngrade/http/PipelinedRequests.java
+++ b/node/src/main/java/ferngrade/http/PipelinedRequests.java
@@ -1,5 +1,6 @@
 package ferngrade.http;
 
+import ferngrade.node.MemoryBudget;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
@@ -14,7 +15,7 @@
   /** The maximum number of requests kept for one connection. */
   private static final int MAX_QUEUED = 64;
 
-  private final HttpFrontend frontend;
+  private final MemoryBudget memory;
   private final Deque<Entry> queued = new ArrayDeque<>();
   private int rejected;
 
@@ -31,14 +32,14 @@
    * in ms on the node's clock; the request's deadline counts from that time.
    */
   record Entry(Action action, FullHttpRequest request, double arrivedAt) {
-    private int bytes() {
-      return request == null ? 0 : request.content().readableBytes();
+    private long bytes() {
+      return request == null ? 0 : RequestSize.of(request);
     }
   }
 
-  /** Creates an empty queue, whose bytes count against the limit of {@code frontend}. */
-  PipelinedRequests(HttpFrontend frontend) {
-    this.frontend = frontend;
+  /** Creates an empty queue, whose requests take memory from {@code memory}. */
+  PipelinedRequests(MemoryBudget memory) {
+    this.memory = memory;
   }
 
   boolean isEmpty() {
@@ -52,7 +53,7 @@
   boolean add(FullHttpRequest request, double arrivedAt) {
     boolean accepted =
         queued.size() < MAX_QUEUED
-            && frontend.reserveWaitingBytes(request.content().readableBytes());
+            && memory.tryReserve(MemoryBudget.Use.QUEUED_REQUESTS, RequestSize.of(request));
     if (accepted) {
       queued.add(new Entry(Action.HANDLE, request, arrivedAt));
     }
@@ -76,7 +77,7 @@
   Entry poll() {
     Entry first = queued.poll();
     if (first != null) {
-      frontend.releaseWaitingBytes(first.bytes());
+      memory.release(MemoryBudget.Use.QUEUED_REQUESTS, first.bytes());
     } else if (rejected > 0) {
       rejected--;
       return new Entry(Action.REJECT, null, 0);
@@ -88,7 +89,7 @@
   void release() {
     queued.forEach(
         entry -> {
-          frontend.releaseWaitingBytes(entry.bytes());
+          memory.release(MemoryBudget.Use.QUEUED_REQUESTS, entry.bytes());
           ReferenceCountUtil.release(entry.request());
         });
     queued.clear();
--- a/node/src/main/java/ferngrade/http/RequestBytesReader.java
+++ b/node/src/main/java/ferngrade/http/RequestBytesReader.java
@@ -1,5 +1,6 @@
 package ferngrade.http;
 
+import ferngrade.node.MemoryBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -28,6 +29,12 @@
   /** The bytes that were read while the decoder was paused. */
   private final UndecodedBytes undecoded = new UndecodedBytes();
 
+  /** The handler that holds the decoded part of a request. */
+  private final BodyAggregator aggregator;
+
+  /** The memory of the requests that have not arrived completely. */
+  private final MemoryBudget.Reservation reservation;
+
   private ChannelHandlerContext context;
   private long bytesRead;
   private int readWhileClosing;
@@ -63,8 +70,15 @@
    * Creates the reader of a connection that may have waited in the backlog since {@code
    * acceptedSince}, in ms on the node's clock.
    */
-  RequestBytesReader(ClientConnection connection, RequestPacer pacer, double acceptedSince) {
+  RequestBytesReader(
+      ClientConnection connection,
+      RequestPacer pacer,
+      BodyAggregator aggregator,
+      MemoryBudget memory,
+      double acceptedSince) {
     this.connection = connection;
+    this.aggregator = aggregator;
+    this.reservation = memory.newReservation(MemoryBudget.Use.PARTIAL_REQUESTS);
     this.pacer = pacer;
     this.arrivals = pacer.arrivals();
     this.share = pacer.newShare();
@@ -106,10 +120,38 @@
     return arrivedAt;
   }
 
-  /** Stops decoding, also of the bytes that have already been read. */
+  /** Stops decoding, and releases the undecoded bytes after the connection has ended. */
   void endDecoding() {
     decodingEnded = true;
     undecoded.release();
+    reservation.release();
+  }
+
+  /**
+   * Stops decoding, and frees the memory of the bytes that belong to no complete request. Must not
+   * be called while bytes are being decoded.
+   */
+  void discardInput() {
+    if (!decodingEnded) {
+      endDecoding();
+      partialRequest = false;
+      // Without the aggregator, what the decoder still holds ends at the last handler.
+      context.pipeline().remove(aggregator);
+      context.pipeline().remove(decoder);
+    }
+  }
+
+  /** Returns true if memory is held for requests that have not arrived completely. */
+  boolean holdsInput() {
+    return reservation.bytes() > 0;
+  }
+
+  /** Adjusts the reservation to the memory held, which may evict this connection or others. */
+  private void updateReservation() {
+    if (!decodingEnded) {
+      long decoded = aggregator.dropping() ? 0 : decoder.decodedBytes();
+      reservation.resize(undecoded.size() + decoder.undecodedBytes() + decoded);
+    }
   }
 
   // ---- Reads ----
@@ -127,6 +169,7 @@
       ReferenceCountUtil.release(bytes);
     } else if (decoder.paused()) {
       bufferUndecoded(bytes);
+      updateReservation();
     } else {
       arrivedAt = earliestArrival();
       decode(bytes);
@@ -174,9 +217,11 @@
   // ---- Decoding ----
 
   private boolean mayDecode() {
-    return context.channel().isActive()
-        && connection.state() != ConnectionState.CLOSING
-        && !decodingEnded;
+    return mayBegin() && !decodingEnded;
+  }
+
+  private boolean mayBegin() {
+    return context.channel().isActive() && connection.state() != ConnectionState.CLOSING;
   }
 
   /**
@@ -193,11 +238,12 @@
     partialRequest = decoder.holdsPartialRequest() || !undecoded.isEmpty();
     connection.readCompleted(partialRequest);
     connection.respondDeferred();
-    if (decoder.paused()) {
+    if (decoder.paused() && mayDecode()) {
       unreadSince = arrivedAt;
       connection.pauseReading();
       resumeLater();
     }
+    updateReservation();
   }
 
   /**
@@ -221,7 +267,7 @@
 
   private void resume() {
     resumeScheduled = false;
-    if (beginDeferred && mayDecode()) {
+    if (beginDeferred && mayBegin()) {
       beginDeferred = false;
       connection.beginNext();
     }
--- a/node/src/main/java/ferngrade/http/RequestDecoder.java
+++ b/node/src/main/java/ferngrade/http/RequestDecoder.java
@@ -29,6 +29,12 @@
 
   private boolean paused;
 
+  /** True from the first byte of a request until its head is decoded. */
+  private boolean withinHead = true;
+
+  /** The estimated memory of the part of a request that has been decoded, in bytes. */
+  private long decodedBytes;
+
   /** Creates a decoder that queries {@code admission} before each request. */
   RequestDecoder(BooleanSupplier admission) {
     this.admission = admission;
@@ -47,12 +53,47 @@
     super.decode(ctx, bytes, decoded);
     boolean text = bytes.forEachByte(start, bytes.readerIndex() - start, SKIP_LINE_ENDS) >= 0;
     withinRequest = withinRequest || text;
+    countDecoded(bytes, start);
     for (Object message : decoded.subList(before, decoded.size())) {
       withinRequest = !(message instanceof LastHttpContent);
       admitted = withinRequest;
+      withinHead = !withinRequest;
+      decodedBytes = withinRequest ? decodedBytes : 0;
+    }
+  }
+
+  private void countDecoded(ByteBuf bytes, int start) {
+    int length = bytes.readerIndex() - start;
+    if (withinRequest) {
+      decodedBytes += length;
+    }
+    if (withinRequest && withinHead) {
+      decodedBytes += (long) RequestSize.HEADER_FIELD_BYTES * lines(bytes, start, length);
     }
   }
 
+  private static int lines(ByteBuf bytes, int start, int length) {
+    int[] count = new int[1];
+    bytes.forEachByte(
+        start,
+        length,
+        value -> {
+          count[0] += value == '\n' ? 1 : 0;
+          return true;
+        });
+    return count[0];
+  }
+
+  /** Returns the memory of the bytes that have been read and not decoded, in bytes. */
+  long undecodedBytes() {
+    return actualReadableBytes() > 0 ? internalBuffer().capacity() : 0;
+  }
+
+  /** Returns the estimated memory of the part of a request that has been decoded, in bytes. */
+  long decodedBytes() {
+    return decodedBytes;
+  }
+
   /**
    * Returns true if the decoder holds bytes that were not admitted. Any further read, even of no
    * bytes, queries the admission again.
--- a/node/src/main/java/ferngrade/http/UndecodedBytes.java
+++ b/node/src/main/java/ferngrade/http/UndecodedBytes.java
@@ -26,18 +26,25 @@
     return overflowed;
   }
 
-  /** Takes over a buffer. Returns false if it was dropped because the limit is exceeded. */
+  /**
+   * Copies and releases a buffer, whose capacity may exceed its content by far. Returns false if
+   * the content was dropped because the limit is exceeded.
+   */
   boolean add(ByteBuf buffer) {
     overflowed = overflowed || byteCount + buffer.readableBytes() > MAX_BYTES;
-    if (overflowed) {
-      buffer.release();
-    } else {
+    if (!overflowed) {
       byteCount += buffer.readableBytes();
-      buffers.add(buffer);
+      buffers.add(buffer.copy());
     }
+    buffer.release();
     return !overflowed;
   }
 
+  /** Returns the number of bytes buffered. */
+  int size() {
+    return byteCount;
+  }
+
   /** Removes and returns the oldest buffer, which the caller takes over; null if there is none. */
   ByteBuf poll() {
     ByteBuf first = buffers.poll();
--- a/node/src/main/java/ferngrade/http/UpgradePeer.java
+++ b/node/src/main/java/ferngrade/http/UpgradePeer.java
@@ -1,5 +1,6 @@
 package ferngrade.http;
 
+import ferngrade.node.MemoryBudget;
 import ferngrade.node.Timers;
 import ferngrade.transport.Dialer;
 import ferngrade.transport.FaultOrigin;
@@ -32,6 +33,7 @@
   private final InetSocketAddress address;
   private final Dialer dialer;
   private final Timers timers;
+  private final MemoryBudget memory;
   private final Consumer<UpgradePeer> whenRefused;
   private final Queue<PeerCall> queued = new ArrayDeque<>();
   private State state = State.DISCONNECTED;
@@ -60,10 +62,15 @@
    * Creates a peer at this address; {@code dialer} adds a {@link PeerConnection} to each pipeline.
    */
   UpgradePeer(
-      InetSocketAddress address, Dialer dialer, Timers timers, Consumer<UpgradePeer> whenRefused) {
+      InetSocketAddress address,
+      Dialer dialer,
+      Timers timers,
+      MemoryBudget memory,
+      Consumer<UpgradePeer> whenRefused) {
     this.address = address;
     this.dialer = dialer;
     this.timers = timers;
+    this.memory = memory;
     this.whenRefused = whenRefused;
   }
 
@@ -75,7 +82,8 @@
   void send(PeerCall call) {
     if (state == State.FORGOTTEN
         || pendingCalls >= MAX_CALLS
-        || pendingBytes + call.bodySize() > MAX_BYTES) {
+        || pendingBytes + call.bodySize() > MAX_BYTES
+        || !memory.tryReserve(MemoryBudget.Use.RELAYS, call.bodySize())) {
       call.end(PeerCall.NO_ANSWER);
       return;
     }
@@ -102,6 +110,7 @@
     }
     pending.addAll(queued);
     queued.clear();
+    pending.forEach(this::release);
     pending.forEach(call -> call.end(PeerCall.NO_ANSWER));
   }
 
@@ -116,6 +125,7 @@
   private void release(PeerCall call) {
     pendingCalls--;
     pendingBytes -= call.bodySize();
+    memory.release(MemoryBudget.Use.RELAYS, call.bodySize());
   }
 
   /** Sends the queued calls as far as the state allows. */
--- a/node/src/main/java/ferngrade/http/UpgradePeers.java
+++ b/node/src/main/java/ferngrade/http/UpgradePeers.java
@@ -1,5 +1,6 @@
 package ferngrade.http;
 
+import ferngrade.node.MemoryBudget;
 import ferngrade.node.RateLimitedLog;
 import ferngrade.node.Timers;
 import ferngrade.transport.ChannelProvider;
@@ -47,6 +48,7 @@
   private static final int UNKNOWN_STATUS = HttpResponseStatus.NOT_FOUND.code();
 
   private final Timers timers;
+  private final MemoryBudget memory;
   private final RateLimitedLog log;
   private final Dialer dialer;
   private final Map<InetSocketAddress, UpgradePeer> peers = new LinkedHashMap<>();
@@ -98,8 +100,13 @@
       };
 
   public UpgradePeers(
-      EventLoopGroup group, Timers timers, RateLimitedLog log, ChannelProvider channels) {
+      EventLoopGroup group,
+      Timers timers,
+      RateLimitedLog log,
+      ChannelProvider channels,
+      MemoryBudget memory) {
     this.timers = timers;
+    this.memory = memory;
     this.log = log;
     this.dialer =
         new Dialer(
@@ -158,7 +165,7 @@
     if (other.equals(ownAddress) || peers.containsKey(other)) {
       return;
     }
-    peers.put(other, new UpgradePeer(other, dialer, timers, this::removeRefused));
+    peers.put(other, new UpgradePeer(other, dialer, timers, memory, this::removeRefused));
     log.line("another process of this node is at " + other);
     if (peers.size() > MAX_PEERS) {
       remove(peers.keySet().iterator().next());
--- a/node/src/main/java/ferngrade/http/WorkerConnection.java
+++ b/node/src/main/java/ferngrade/http/WorkerConnection.java
@@ -2,6 +2,7 @@
 
 import ferngrade.transport.FaultOrigin;
 import ferngrade.transport.PendingReads;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -10,11 +11,14 @@
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 
@@ -64,6 +68,7 @@
         idleGuard(),
         new HttpRequestEncoder(),
         decoder,
+        bodyFilter(),
         new HttpObjectAggregator(HttpFrontend.MAX_BODY_BYTES),
         this);
   }
@@ -82,6 +87,33 @@
     };
   }
 
+  /**
+   * Drops the bodies of responses that no exchange reads, so that a worker that sends them slowly
+   * takes no memory. A body that is too large ends the connection as if it had been kept.
+   */
+  private ChannelInboundHandler bodyFilter() {
+    return new ChannelInboundHandlerAdapter() {
+      private long bodyBytes;
+
+      @Override
+      public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (message instanceof HttpResponse) {
+          bodyBytes = 0;
+        }
+        if (message instanceof HttpContent part && exchange != null && !exchange.readsBody()) {
+          bodyBytes += part.content().readableBytes();
+          part.release();
+          if (bodyBytes > HttpFrontend.MAX_BODY_BYTES) {
+            throw new TooLongHttpContentException("the body of a response is too large");
+          }
+          ctx.fireChannelRead(part.replace(Unpooled.EMPTY_BUFFER));
+        } else {
+          ctx.fireChannelRead(message);
+        }
+      }
+    };
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     context = ctx;
--- a/node/src/main/java/ferngrade/node/RequestCoordinator.java
+++ b/node/src/main/java/ferngrade/node/RequestCoordinator.java
@@ -48,9 +48,6 @@
   private final NodeMetrics metrics = new NodeMetrics();
   private final TraceLog traces;
 
-  /** The total size of the bodies of the pending requests, in bytes. */
-  private long pendingBytes;
-
   private boolean readyLogged;
 
   private Runnable onReady = () -> {};
@@ -71,11 +68,10 @@
       RateLimitedLog log) {}
 
   /**
-   * Limits the node's memory: the number of pending requests and the total size of their bodies in
-   * bytes. Requests beyond either limit are rejected with a Retry-After of {@code retryAfter} ms,
-   * or with none if it is 0.
+   * Limits the pending requests: their number and the memory reserved for them. Requests beyond
+   * either limit are rejected with a Retry-After of {@code retryAfter} ms, or with none if it is 0.
    */
-  public record RequestLimits(int requests, long bytes, double retryAfter) {}
+  public record RequestLimits(int requests, MemoryBudget memory, double retryAfter) {}
 
   /**
    * Creates a coordinator for the dispatcher that {@code start} returns. {@code start} receives the
@@ -124,13 +120,13 @@
     if (pending.containsKey(job.id()) || finished.contains(job.id())) {
       return false;
     }
-    if (pending.size() >= limits.requests() || pendingBytes + call.body().length > limits.bytes()) {
+    if (pending.size() >= limits.requests()
+        || !limits.memory().tryReserve(MemoryBudget.Use.JOBS, call.memoryBytes())) {
       rejectForCapacity(job, reply);
       return true;
     }
     PendingRequest request = new PendingRequest(job, call, reply, metrics, clock);
     pending.put(job.id(), request);
-    pendingBytes += call.body().length;
     request.overdueTimer =
         timers.after(
             job.deadline() - clock.now() + FINAL_ANSWER_GRACE_MILLIS, () -> overdue(request));
@@ -454,7 +450,7 @@
         traces.write(request, "answered-late");
       }
       finished.add(request.job.id());
-      pendingBytes -= request.call.body().length;
+      limits.memory().release(MemoryBudget.Use.JOBS, request.call.memoryBytes());
     }
   }
 
--- a/node/src/main/java/ferngrade/peer/UdpPeers.java
+++ b/node/src/main/java/ferngrade/peer/UdpPeers.java
@@ -3,6 +3,7 @@
 import ferngrade.node.PeerTransport;
 import ferngrade.node.RateLimitedLog;
 import ferngrade.transport.ChannelProvider;
+import ferngrade.transport.HeapBufferAllocator;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -64,6 +65,7 @@
             .group(group)
             .channelFactory(channels::datagrams)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.ALLOCATOR, HeapBufferAllocator.INSTANCE)
             .handler(
                 new SimpleChannelInboundHandler<DatagramPacket>() {
                   @Override
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -24,6 +24,7 @@
 import ferngrade.node.Endpoint;
 import ferngrade.node.FileOperations;
 import ferngrade.node.LoopMonitor;
+import ferngrade.node.MemoryBudget;
 import ferngrade.node.RateLimitedLog;
 import ferngrade.node.RequestCoordinator;
 import ferngrade.node.Timers;
@@ -60,10 +61,7 @@
   /** The Retry-After value of a rejection for lack of capacity, in ms. */
   private static final double OVERLOAD_RETRY_AFTER_MILLIS = 1000;
 
-  /**
-   * The maximum number of open requests per MB of the memory limit. A request with its attempts and
-   * timers takes a few KB, so all of them take up to one sixteenth of the limit.
-   */
+  /** The maximum number of open requests per MB of the memory limit. */
   private static final int REQUESTS_PER_MB = 16;
 
   /**
@@ -91,6 +89,7 @@
   private final LoopMonitor loopMonitor;
   private final PauseDetector pauseDetector;
   private final ProcessLimits processLimits;
+  private final MemoryBudget memory;
   private final HttpFrontend frontend;
   private final UpgradePeers upgradePeers;
   private RequestCoordinator coordinator;
@@ -174,15 +173,17 @@
     this.pauseDetector = new PauseDetector(clock, timers);
     arrivalClock.setTurnListener(loopMonitor::turnEnded);
     timers.onDelay(loopMonitor::timerDelayed);
+    this.processLimits = new ProcessLimits(config, log);
+    this.memory = new MemoryBudget(processLimits.peerMemory(1));
     // Only a process on an inherited socket can run in parallel with other processes of the node.
     this.upgradePeers =
         platform.inheritedListener() == null
             ? null
-            : new UpgradePeers(group, timers, log, channels);
-    this.processLimits = new ProcessLimits(config, log);
+            : new UpgradePeers(group, timers, log, channels, memory);
     this.frontend =
         new HttpFrontend(
             processLimits.limits(1),
+            memory,
             clock,
             arrivalClock,
             timers,
@@ -298,10 +299,9 @@
   }
 
   private RequestCoordinator.RequestLimits requestLimits() {
-    long bytes = ((long) config.memoryMb() << 20) / 16;
     return new RequestCoordinator.RequestLimits(
         Math.min(config.maxOpenRequests(), REQUESTS_PER_MB * config.memoryMb()),
-        bytes,
+        memory,
         Math.min(OVERLOAD_RETRY_AFTER_MILLIS, config.settings().limits().maxRetryAfterMs()));
   }
 
@@ -381,7 +381,8 @@
                 frontend,
                 upgradePeers,
                 this::discoveryMoved,
-                processShare -> processLimits.apply(processShare, coordinator, frontend, pool),
+                processShare ->
+                    processLimits.apply(processShare, coordinator, frontend, pool, memory),
                 loop,
                 clock,
                 timers,
--- a/node/src/main/java/ferngrade/server/ProcessLimits.java
+++ b/node/src/main/java/ferngrade/server/ProcessLimits.java
@@ -4,6 +4,7 @@
 import ferngrade.http.ConnectionLimits;
 import ferngrade.http.ConnectionPool;
 import ferngrade.http.HttpFrontend;
+import ferngrade.node.MemoryBudget;
 import ferngrade.node.RateLimitedLog;
 import ferngrade.node.RequestCoordinator;
 
@@ -19,6 +20,15 @@
    */
   private static final int MIN_DESCRIPTORS = 64;
 
+  /** The share of a node's memory that it may hold on behalf of its peers. */
+  private static final double NODE_MEMORY_SHARE = 5.0 / 32;
+
+  /**
+   * The share of a process's heap that it may hold on behalf of its peers. The rest holds the
+   * node's own state, the endpoint list and what one turn of the event loop allocates.
+   */
+  private static final double HEAP_SHARE = 0.25;
+
   private final NodeConfig config;
   private final RateLimitedLog log;
 
@@ -33,12 +43,23 @@
         Math.max(MIN_DESCRIPTORS, config.sockets() / processes), config.memoryMb() / processes);
   }
 
+  /**
+   * Returns the memory that each process may hold on behalf of its peers, in bytes, when the node's
+   * limits are shared by {@code processes}: a share of the configured memory, but no more than a
+   * share of the heap that the runtime grants.
+   */
+  long peerMemory(int processes) {
+    double configured = NODE_MEMORY_SHARE * ((long) config.memoryMb() << 20) / processes;
+    return (long) Math.min(configured, HEAP_SHARE * Runtime.getRuntime().maxMemory());
+  }
+
   /** Applies the share of this process to its components. */
   void apply(
       ProcessShare share,
       RequestCoordinator coordinator,
       HttpFrontend frontend,
-      ConnectionPool pool) {
+      ConnectionPool pool,
+      MemoryBudget memory) {
     log.line(
         share.running()
             + " processes of this node are running, "
@@ -49,5 +70,6 @@
     ConnectionLimits limits = limits(share.running());
     frontend.setLimits(limits);
     pool.setMaxConnections(limits.workers());
+    memory.setLimit(peerMemory(share.running()));
   }
 }
--- a/node/src/main/java/ferngrade/transport/Dialer.java
+++ b/node/src/main/java/ferngrade/transport/Dialer.java
@@ -67,6 +67,7 @@
         new Bootstrap()
             .group(loop)
             .channelFactory(() -> channels.connection(purpose))
+            .option(ChannelOption.ALLOCATOR, HeapBufferAllocator.INSTANCE)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout)
             .handler(handler);
--- a/node/src/test/java/ferngrade/discovery/DiscoveryTestBase.java
+++ b/node/src/test/java/ferngrade/discovery/DiscoveryTestBase.java
@@ -7,6 +7,7 @@
 import ferngrade.config.SettingsMapping;
 import ferngrade.dispatch.ThrottlingDispatcher;
 import ferngrade.http.RawHttp;
+import ferngrade.node.MemoryBudget;
 import ferngrade.node.RateLimitedLog;
 import ferngrade.node.RequestCoordinator;
 import ferngrade.node.Timers;
@@ -81,7 +82,7 @@
         new RequestCoordinator(
             new RequestCoordinator.Dependencies(
                 () -> now, timers, loop, null, (peer, message) -> {}, log),
-            new RequestCoordinator.RequestLimits(1, 1, 0),
+            new RequestCoordinator.RequestLimits(1, MemoryBudget.unlimited(), 0),
             actions -> new ThrottlingDispatcher(settings.build(), 7, now, actions));
     InetSocketAddress address =
         new InetSocketAddress(discovery.getInetAddress(), discovery.getLocalPort());
--- a/node/src/test/java/ferngrade/http/UpgradePeersTest.java
+++ b/node/src/test/java/ferngrade/http/UpgradePeersTest.java
@@ -5,6 +5,7 @@
 
 import ferngrade.http.RawHttp.Message;
 import ferngrade.http.UpgradePeers.RelayOutcome;
+import ferngrade.node.MemoryBudget;
 import ferngrade.node.RateLimitedLog;
 import ferngrade.node.Timers;
 import ferngrade.transport.FaultInjectingChannels;
@@ -50,7 +51,9 @@
             () -> {
               timers = new Timers(() -> now, (millis, run) -> {});
               RateLimitedLog log = new RateLimitedLog(() -> now, line -> {});
-              peers = new UpgradePeers(group, timers, log, new FaultInjectingChannels());
+              peers =
+                  new UpgradePeers(
+                      group, timers, log, new FaultInjectingChannels(), MemoryBudget.unlimited());
               peers.addAnnounced(new InetSocketAddress(peer.getInetAddress(), peer.getLocalPort()));
             })
         .get();
--- a/node/src/test/java/ferngrade/node/DurationsAcrossClockStepsTest.java
+++ b/node/src/test/java/ferngrade/node/DurationsAcrossClockStepsTest.java
@@ -94,7 +94,7 @@
                   this,
                   (peer, message) -> {},
                   new RateLimitedLog(clock, line -> {})),
-              new RequestCoordinator.RequestLimits(100, 100_000, 700),
+              new RequestCoordinator.RequestLimits(100, MemoryBudget.unlimited(), 700),
               actions -> new ThrottlingDispatcher(settings.build(), 7, clock.now(), actions));
     }
 
--- a/node/src/test/java/ferngrade/node/RequestCoordinatorTest.java
+++ b/node/src/test/java/ferngrade/node/RequestCoordinatorTest.java
@@ -57,7 +57,7 @@
                 new ScriptedWorkers(),
                 (peer, message) -> {},
                 new RateLimitedLog(clock, log::add)),
-            new RequestCoordinator.RequestLimits(2, 100, 700),
+            new RequestCoordinator.RequestLimits(2, MemoryBudget.unlimited(), 700),
             dispatcherActions -> {
               actions = dispatcherActions;
               return new RecordingDispatcher();
--- a/node/src/test/java/ferngrade/node/SlowStartAcrossClockStepsTest.java
+++ b/node/src/test/java/ferngrade/node/SlowStartAcrossClockStepsTest.java
@@ -110,7 +110,7 @@
                   this,
                   (peer, message) -> {},
                   new RateLimitedLog(clock, line -> {})),
-              new RequestCoordinator.RequestLimits(1000, 1_000_000, 0),
+              new RequestCoordinator.RequestLimits(1000, MemoryBudget.unlimited(), 0),
               actions -> new ThrottlingDispatcher(settings.build(), 7, clock.now(), actions));
     }
 
