Send a request id from at most one process of a node while several run

Cause: each process knew only the ids of its own requests, and kept every callback for an id that it knew. Change: a starting process joins the others; they send it their ids and claim each new one there before they send it (RequestIdClaims). A callback that belongs to no attempt here is relayed, unless its request is known to be this process's alone. Why it works: the newest process knows all ids of the node and decides alone, also while another is suspended; a process without an answer rejects with 503, and has sent nothing. An earlier release is asked by a relayed callback without effect. Changed tests: SystemCallFaultsTest and AdminIntegrationTest answer and check the new call to join, with the earlier checks as they were; SharedSocketFixture asks for ready on new connections, as the operators' listener closes each.

--- a/node/src/main/java/ferngrade/http/AdminHandler.java
+++ b/node/src/main/java/ferngrade/http/AdminHandler.java
@@ -195,7 +195,7 @@
           answer(ctx, HttpResponseStatus.OK, "taking clients\n");
         }
       }
-      case "/-/news", "/-/sibling", "/-/state" -> {
+      case "/-/news", "/-/sibling", "/-/state", "/-/ids", "/-/claim", "/-/join" -> {
         if (requireMethod(ctx, method, HttpMethod.POST)) {
           isUpgradePeer = call.headers().contains(HttpHeaderNames.CONNECTION, "keep-alive", true);
           fromUpgradePeer(ctx, path, call.content().toString(StandardCharsets.UTF_8));
@@ -207,17 +207,20 @@
 
   /**
    * Handles a call from another process of this node on the same client socket: a relayed callback,
-   * the announcement of an address, or a record.
+   * the announcement of an address, a record, or a call about the ids of requests.
    */
   private void fromUpgradePeer(ChannelHandlerContext ctx, String path, String body) {
     try {
-      boolean accepted =
-          switch (path) {
-            case "/-/news" -> calls.relayedCallback(body);
-            case "/-/sibling" -> calls.peerAnnounced(body);
-            default -> calls.recordReceived(body);
-          };
-      answer(ctx, accepted ? HttpResponseStatus.NO_CONTENT : HttpResponseStatus.NOT_FOUND, "");
+      switch (path) {
+        case "/-/news" -> answer(ctx, calls.relayedCallback(body), HttpResponseStatus.NOT_FOUND);
+        case "/-/sibling" -> answer(ctx, calls.peerAnnounced(body), HttpResponseStatus.NOT_FOUND);
+        case "/-/ids" -> answer(ctx, calls.idsReceived(body), HttpResponseStatus.NOT_FOUND);
+        case "/-/claim" -> answer(ctx, calls.idClaimed(body), HttpResponseStatus.CONFLICT);
+        case "/-/join" ->
+            calls.joined(
+                body, complete -> answer(ctx, complete, HttpResponseStatus.SERVICE_UNAVAILABLE));
+        default -> answer(ctx, calls.recordReceived(body), HttpResponseStatus.NOT_FOUND);
+      }
     } catch (BadRequestException | IllegalArgumentException badRequest) {
       isUpgradePeer = false;
       answer(ctx, HttpResponseStatus.BAD_REQUEST, badRequest.getMessage() + "\n");
@@ -273,6 +276,10 @@
     return false;
   }
 
+  private void answer(ChannelHandlerContext ctx, boolean accepted, HttpResponseStatus otherwise) {
+    answer(ctx, accepted ? HttpResponseStatus.NO_CONTENT : otherwise, "");
+  }
+
   private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
     if (state != ConnectionState.BUSY) {
       return;
--- a/node/src/main/java/ferngrade/http/ClientRequestHandler.java
+++ b/node/src/main/java/ferngrade/http/ClientRequestHandler.java
@@ -21,6 +21,9 @@
   private static final String READY_PATH = "/-/ready";
   private static final String CALLBACK_PATH = "/_jobs/news";
 
+  /** The reason given to a client whose request has an id that another request has used. */
+  static final String ID_USED = "Req-Id has been used";
+
   private final HttpFrontend frontend;
   private final RequestCoordinator coordinator;
   private final RequestReader reader;
@@ -67,35 +70,32 @@
   }
 
   /**
-   * Handles a worker's callback. While several processes share the client socket, a callback for a
-   * job that this process never had is relayed to the other processes. If a process does not
-   * answer, or a process with an unknown address may be running, the response is 503 and closes the
-   * connection. The worker's retry then arrives on a new connection, which another process may
-   * accept. In all other cases the response is 204, so that the worker does not send the callback
-   * again: a process has taken the callback, or no process waits for it.
+   * Handles a worker's callback. While several processes share the client socket, a callback that
+   * belongs to no attempt of this process is relayed to the other processes, unless its job is
+   * known to be one of this process. If a process does not answer, or a process with an unknown
+   * address may be running, the response is 503 and closes the connection. The worker's retry then
+   * arrives on a new connection, which another process may accept. In all other cases the response
+   * is 204, so that the worker does not send the callback again: a process has taken the callback,
+   * or no process waits for it.
    */
   private void callback(ClientConnection connection, WorkerCallback callback, String body) {
-    if (frontend.upgradePeers() != null && !coordinator.isKnownRequest(callback.id())) {
-      frontend
-          .upgradePeers()
-          .relay(
-              body,
-              outcome -> {
-                if (outcome == RelayOutcome.UNANSWERED) {
-                  connection.respondAndClose(
-                      HttpResponseStatus.SERVICE_UNAVAILABLE, "no such job here");
-                } else {
-                  connection.respond(HttpResponseStatus.NO_CONTENT, "");
-                }
-              });
-      return;
-    }
     if (coordinator.callback(callback)) {
       connection.trust();
+    } else if (frontend.upgradePeers() != null && coordinator.mayBelongElsewhere(callback.id())) {
+      frontend.upgradePeers().relay(body, outcome -> relayed(connection, outcome));
+      return;
     }
     connection.respond(HttpResponseStatus.NO_CONTENT, "");
   }
 
+  private static void relayed(ClientConnection connection, RelayOutcome outcome) {
+    if (outcome == RelayOutcome.UNANSWERED) {
+      connection.respondAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, "no such job here");
+    } else {
+      connection.respond(HttpResponseStatus.NO_CONTENT, "");
+    }
+  }
+
   private void job(ClientConnection connection, FullHttpRequest request, double arrivedAt)
       throws BadRequestException {
     Job job = reader.job(request, arrivedAt);
@@ -117,7 +117,7 @@
     if (!coordinator.request(job, RequestReader.jobRequest(request, job.id()), response)) {
       connection.jobNotStarted();
       frontend.jobEnded();
-      throw new BadRequestException("Req-Id has been used");
+      throw new BadRequestException(ID_USED);
     }
     connection.trust();
   }
--- a/node/src/main/java/ferngrade/http/JobResponseHandler.java
+++ b/node/src/main/java/ferngrade/http/JobResponseHandler.java
@@ -40,6 +40,11 @@
     connection.respond(HttpResponseStatus.BAD_GATEWAY, "");
   }
 
+  @Override
+  public void idInUse() {
+    connection.respondAndClose(HttpResponseStatus.BAD_REQUEST, ClientRequestHandler.ID_USED);
+  }
+
   @Override
   public boolean clientPresent() {
     return connection.clientPresent();
--- a/node/src/main/java/ferngrade/http/MetricsPage.java
+++ b/node/src/main/java/ferngrade/http/MetricsPage.java
@@ -7,6 +7,7 @@
 import ferngrade.node.NodeMetrics;
 import ferngrade.node.RejectionReason;
 import ferngrade.node.RequestCoordinator;
+import ferngrade.node.RequestIds;
 import ferngrade.node.WithheldReason;
 import java.util.List;
 import java.util.Locale;
@@ -19,6 +20,7 @@
   private final HttpFrontend frontend;
   private final ForcedCloses operatorCloses;
   private final UpgradePeers upgradePeers;
+  private final RequestIdClaims requestIds;
   private final List<String> classes;
   private final LoopMonitor loopMonitor;
   private final IntSupplier reloadsOk;
@@ -29,6 +31,7 @@
     this.frontend = parts.frontend();
     this.operatorCloses = parts.operatorCloses();
     this.upgradePeers = parts.upgradePeers();
+    this.requestIds = parts.requestIds();
     this.classes = parts.classes();
     this.loopMonitor = parts.loopMonitor();
     this.reloadsOk = parts.reloadsOk();
@@ -68,6 +71,9 @@
     if (upgradePeers != null) {
       lines(text, "relayed.", UpgradePeers.RelayOutcome.values(), upgradePeers.relayed());
     }
+    if (requestIds != null) {
+      lines(text, "id_claims.", RequestIds.Claim.values(), requestIds.outcomes());
+    }
     return text.toString();
   }
 
--- a/node/src/main/java/ferngrade/http/OperatorCalls.java
+++ b/node/src/main/java/ferngrade/http/OperatorCalls.java
@@ -31,12 +31,23 @@
    */
   private static final double MIN_STORE_TIMEOUT_MILLIS = 50;
 
+  /**
+   * The time after the start for which a process that has not answered the call to join keeps this
+   * one from being ready, in ms. Until that process has ended, requests are then rejected.
+   */
+  private static final double MAX_JOIN_WAIT_MILLIS = 2500;
+
   private final RequestCoordinator coordinator;
   private final HttpFrontend frontend;
   private final UpgradePeers upgradePeers;
+  private final RequestIdClaims requestIds;
   private final OperatorState state;
   private final ArrivalClock arrivals;
   private final Clock clock;
+
+  /** The time from which the node may be ready without having joined, in ms on the clock. */
+  private final double joinWaitEnd;
+
   private final Timers timers;
   private final RateLimitedLog log;
   private final MetricsPage metrics;
@@ -44,12 +55,14 @@
 
   /**
    * The parts of the node that the calls act on. {@code state} is null if no state outlives the
-   * process, {@code upgradePeers} is null if the node has no other processes.
+   * process, {@code upgradePeers} and {@code requestIds} are null if the node has no other
+   * processes.
    */
   public record Parts(
       RequestCoordinator coordinator,
       HttpFrontend frontend,
       UpgradePeers upgradePeers,
+      RequestIdClaims requestIds,
       List<String> classes,
       OperatorState state,
       ArrivalClock arrivals,
@@ -70,11 +83,13 @@
     this.coordinator = parts.coordinator();
     this.frontend = parts.frontend();
     this.upgradePeers = parts.upgradePeers();
+    this.requestIds = parts.requestIds();
     this.state = parts.state();
     this.forcedCloses = parts.operatorCloses();
     this.metrics = new MetricsPage(parts);
     this.arrivals = parts.arrivals();
     this.clock = clock;
+    this.joinWaitEnd = clock.now() + MAX_JOIN_WAIT_MILLIS;
     this.timers = timers;
     this.log = log;
   }
@@ -86,7 +101,10 @@
 
   boolean ready() {
     refresh();
-    return coordinator.ready() && !frontend.draining() && (state == null || state.complete());
+    return coordinator.ready()
+        && !frontend.draining()
+        && (state == null || state.complete())
+        && (requestIds == null || requestIds.joined() || clock.now() > joinWaitEnd);
   }
 
   /** Reads the changes made through other processes of the node before this call. */
@@ -102,13 +120,46 @@
    */
   boolean relayedCallback(String body) throws BadRequestException {
     WorkerCallback callback = WorkerCallbackParser.parse(body);
-    if (!coordinator.isKnownRequest(callback.id())) {
+    return coordinator.callback(callback) || !coordinator.mayBelongElsewhere(callback.id());
+  }
+
+  /**
+   * Handles the call of a starting process that joins this one; {@code answer} receives whether it
+   * has got the ids of all requests.
+   */
+  void joined(String address, Consumer<Boolean> answer) {
+    if (requestIds == null) {
+      answer.accept(false);
+    } else {
+      requestIds.joinedBy(EndpointListParser.address(address.trim()), answer);
+    }
+  }
+
+  /**
+   * Handles the ids of another process: its address in the first line, and one id in each further
+   * line. Returns false if this process shares no socket.
+   */
+  boolean idsReceived(String body) {
+    if (requestIds == null) {
       return false;
     }
-    coordinator.callback(callback);
+    List<String> lines = body.lines().toList();
+    requestIds.idsReceived(
+        EndpointListParser.address(lines.get(0)), lines.subList(1, lines.size()));
     return true;
   }
 
+  /**
+   * Handles the claim of another process to an id: its address in the first line, the id in the
+   * second. Returns false if the id is in use.
+   */
+  boolean idClaimed(String body) {
+    List<String> lines = body.lines().toList();
+    return requestIds != null
+        && lines.size() == 2
+        && requestIds.claimedBy(EndpointListParser.address(lines.get(0)), lines.get(1));
+  }
+
   /**
    * Handles the announcement of the address at which another process of this node receives calls.
    * Returns false if this process does not share a socket.
--- a/node/src/main/java/ferngrade/http/UpgradePeers.java
+++ b/node/src/main/java/ferngrade/http/UpgradePeers.java
@@ -60,6 +60,8 @@
    */
   private final Set<InetSocketAddress> unrecorded = new LinkedHashSet<>();
 
+  private Consumer<InetSocketAddress> addedListener = address -> {};
+
   private RunningProcesses runningProcesses = UNKNOWN_PROCESSES;
   private InetSocketAddress ownAddress;
 
@@ -167,6 +169,7 @@
     }
     peers.put(other, new UpgradePeer(other, dialer, timers, memory, this::removeRefused));
     log.line("another process of this node is at " + other);
+    addedListener.accept(other);
     if (peers.size() > MAX_PEERS) {
       remove(peers.keySet().iterator().next());
     }
@@ -179,6 +182,36 @@
     }
   }
 
+  /** Sets the task that runs with the address of each process that becomes known from now on. */
+  void setAddedListener(Consumer<InetSocketAddress> listener) {
+    addedListener = listener;
+  }
+
+  /** Returns the address at which this process receives calls; null if it is not known yet. */
+  InetSocketAddress ownAddress() {
+    return ownAddress;
+  }
+
+  /** Returns the addresses of the other processes. */
+  List<InetSocketAddress> addresses() {
+    return List.copyOf(peers.keySet());
+  }
+
+  /** Returns true while a process at this address is taken to run. */
+  boolean contains(InetSocketAddress address) {
+    return peers.containsKey(address);
+  }
+
+  /** Makes a call to one process; the call ends without an answer if there is no such process. */
+  void send(InetSocketAddress address, PeerCall call) {
+    UpgradePeer peer = peers.get(address);
+    if (peer == null) {
+      call.end(PeerCall.NO_ANSWER);
+    } else {
+      peer.send(call);
+    }
+  }
+
   /** Announces the address of this process to the other processes. */
   public void announce() {
     String text = ownAddress.getHostString() + ":" + ownAddress.getPort();
--- a/node/src/main/java/ferngrade/node/PendingRequest.java
+++ b/node/src/main/java/ferngrade/node/PendingRequest.java
@@ -16,6 +16,9 @@
   final JobRequest call;
   final List<Attempt> attempts = new ArrayList<>(2);
 
+  /** True once the dispatcher decides on the request, which may then be sent. */
+  boolean admitted;
+
   /** The number of attempts that have not ended. */
   int attemptsInFlight;
 
@@ -111,6 +114,13 @@
     return first;
   }
 
+  /** Answers that the id of the request belongs to a request of another process. */
+  void idInUse() {
+    if (complete(FinalAnswer.ID_IN_USE)) {
+      reply.idInUse();
+    }
+  }
+
   /**
    * Answers a request that a shutdown cancels: failed if an attempt may have run, rejected
    * otherwise.
--- a/node/src/main/java/ferngrade/node/RecentIds.java
+++ b/node/src/main/java/ferngrade/node/RecentIds.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Remembers the ids of the most recently finished requests, up to a limit. Each request must have a
@@ -23,6 +24,11 @@
     }
   }
 
+  /** Returns the ids, the oldest first. */
+  Stream<String> stream() {
+    return ids.stream();
+  }
+
   boolean contains(String id) {
     return ids.contains(id);
   }
--- a/node/src/main/java/ferngrade/node/RejectionReason.java
+++ b/node/src/main/java/ferngrade/node/RejectionReason.java
@@ -8,6 +8,8 @@
   DISPATCHER,
   /** This process has no capacity for the request. */
   CAPACITY,
+  /** Another process, which may have a request with the same id, has not answered. */
+  ID_UNCONFIRMED,
   /** This process is shutting down. */
   SHUTDOWN
 }
--- a/node/src/main/java/ferngrade/node/RequestCoordinator.java
+++ b/node/src/main/java/ferngrade/node/RequestCoordinator.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 /**
  * Coordinates client requests independently of any protocol. Collects events, passes them to the
@@ -45,6 +46,7 @@
   private final Dispatcher dispatcher;
   private final Map<String, PendingRequest> pending = new HashMap<>();
   private final RecentIds finished;
+  private RequestIds ids = RequestIds.SINGLE_PROCESS;
   private final NodeMetrics metrics = new NodeMetrics();
   private final TraceLog traces;
 
@@ -117,7 +119,7 @@
    * @return false if the id has been used before; no method of {@code reply} is called then
    */
   public boolean request(Job job, JobRequest call, ResponseHandler reply) {
-    if (pending.containsKey(job.id()) || finished.contains(job.id())) {
+    if (hasUsedId(job.id()) || ids.usedElsewhere(job.id())) {
       return false;
     }
     if (pending.size() >= limits.requests()
@@ -130,10 +132,43 @@
     request.overdueTimer =
         timers.after(
             job.deadline() - clock.now() + FINAL_ANSWER_GRACE_MILLIS, () -> overdue(request));
-    turns.event(() -> dispatcher.requestArrived(clock.now(), job));
+    ids.claim(job.id(), outcome -> idClaimed(request, outcome));
     return true;
   }
 
+  /** Handles the outcome of the claim of a request's id; the client may have left meanwhile. */
+  private void idClaimed(PendingRequest request, RequestIds.Claim outcome) {
+    if (request.completed()) {
+      return;
+    }
+    if (outcome == RequestIds.Claim.GRANTED) {
+      request.admitted = true;
+      turns.event(() -> dispatcher.requestArrived(clock.now(), request.job));
+      return;
+    }
+    if (outcome == RequestIds.Claim.IN_USE) {
+      request.idInUse();
+    } else {
+      request.rejected(limits.retryAfter(), RejectionReason.ID_UNCONFIRMED);
+    }
+    release(request);
+  }
+
+  /** Sets what keeps ids unique among the processes of the node. */
+  public void setRequestIds(RequestIds requestIds) {
+    ids = requestIds;
+  }
+
+  /** Returns true if a request with this id is pending or has finished here. */
+  public boolean hasUsedId(String id) {
+    return pending.containsKey(id) || finished.contains(id);
+  }
+
+  /** Returns the ids of the finished requests that are remembered and of the pending ones. */
+  public List<String> usedIds() {
+    return Stream.concat(finished.stream(), pending.keySet().stream()).toList();
+  }
+
   /** Rejects a request for lack of capacity, without passing it to the dispatcher. */
   public void rejectForCapacity(Job job, ResponseHandler reply) {
     reject(job, reply, limits.retryAfter(), RejectionReason.CAPACITY);
@@ -192,7 +227,7 @@
       request.abandoned();
       turns.event(
           () -> {
-            dispatcher.requestAbandoned(clock.now(), id);
+            abandonAtDispatcher(request);
             release(request);
           });
       // A worker starts a job once it has received the last byte, so attempts that are not fully
@@ -202,11 +237,13 @@
   }
 
   /**
-   * Returns true if the request with this id is pending here or is among the finished requests that
-   * this node remembers.
+   * Returns true if a request with this id may have been sent by another process of the node:
+   * unless it was sent by this process, and the id is not known to be another process's, too.
    */
-  public boolean isKnownRequest(String id) {
-    return pending.containsKey(id) || finished.contains(id);
+  public boolean mayBelongElsewhere(String id) {
+    PendingRequest request = pending.get(id);
+    boolean sentHere = request == null ? finished.contains(id) : request.admitted;
+    return !sentHere || ids.usedElsewhere(id);
   }
 
   /**
@@ -407,13 +444,22 @@
   }
 
   private void failOverdue(PendingRequest request) {
-    if (request.failed()) {
+    if (!request.admitted) {
+      request.rejected(limits.retryAfter(), RejectionReason.ID_UNCONFIRMED);
+      release(request);
+    } else if (request.failed()) {
       traces.write(request, "no-answer-at-deadline");
-      dispatcher.requestAbandoned(clock.now(), request.job.id());
+      abandonAtDispatcher(request);
       release(request);
     }
   }
 
+  private void abandonAtDispatcher(PendingRequest request) {
+    if (request.admitted) {
+      dispatcher.requestAbandoned(clock.now(), request.job.id());
+    }
+  }
+
   /**
    * Cancels the request and all its attempts. The final answer depends on whether an attempt may
    * have run.
@@ -431,7 +477,7 @@
     inFlight.forEach(attempt -> attempt.handle.cancel(() -> {}));
     request.cancelledByShutdown();
     traces.write(request, "cut-short-by-shutdown");
-    dispatcher.requestAbandoned(clock.now(), request.job.id());
+    abandonAtDispatcher(request);
     inFlight.forEach(
         attempt ->
             attempts.end(
@@ -449,7 +495,9 @@
       if (request.answeredLate() && request.answer() != FinalAnswer.FAILED) {
         traces.write(request, "answered-late");
       }
-      finished.add(request.job.id());
+      if (request.admitted) {
+        finished.add(request.job.id());
+      }
       limits.memory().release(MemoryBudget.Use.JOBS, request.call.memoryBytes());
     }
   }
--- a/node/src/main/java/ferngrade/node/ResponseHandler.java
+++ b/node/src/main/java/ferngrade/node/ResponseHandler.java
@@ -17,6 +17,14 @@
   /** Reports a failure. The client cannot conclude whether the request had an effect. */
   void failed();
 
+  /**
+   * Reports that the id of the request belongs to a request of another process; the request has not
+   * been sent.
+   */
+  default void idInUse() {
+    failed();
+  }
+
   /**
    * Returns false if the client has disconnected, even if the event loop has not read the close
    * yet. Called immediately before an attempt is written. If this method returns false, the node
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -14,6 +14,7 @@
 import ferngrade.http.HttpFrontend;
 import ferngrade.http.OncePerTurn;
 import ferngrade.http.OperatorCalls;
+import ferngrade.http.RequestIdClaims;
 import ferngrade.http.RequestReader;
 import ferngrade.http.ShutdownBudget;
 import ferngrade.http.UpgradePeers;
@@ -41,6 +42,7 @@
 import java.nio.channels.spi.SelectorProvider;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
@@ -64,12 +66,24 @@
   /** The maximum number of open requests per MB of the memory limit. */
   private static final int REQUESTS_PER_MB = 16;
 
+  /**
+   * The number of other processes' request ids that are remembered for each request that may be
+   * open here.
+   */
+  private static final int FOREIGN_IDS_PER_REQUEST = 4;
+
   /**
    * The maximum time for which a starting process leaves new connections to its predecessor until
    * it is ready, in ms.
    */
   private static final double MAX_ACCEPT_PAUSE_MILLIS = 500;
 
+  /**
+   * The maximum time for which a starting process leaves new connections to a predecessor that does
+   * not answer its call to join, in ms.
+   */
+  private static final double MAX_JOIN_WAIT_MILLIS = 500;
+
   /**
    * The interval at which a process reads the state shared by the other processes of the node, in
    * ms.
@@ -99,6 +113,9 @@
   /** State shared with the other processes of the node; null without an operators' listener. */
   private SharedState sharedState;
 
+  /** Keeps request ids unique among the processes of the node; null if it runs alone. */
+  private RequestIdClaims requestIds;
+
   private Discovery discovery;
   private final CountDownLatch finished = new CountDownLatch(1);
 
@@ -324,6 +341,7 @@
             ? null
             : new StateFolder(platform.stateFolder(), platform.files(), log, this::report);
     sharedState = folder == null || config.admin() == null ? null : openSharedState(folder);
+    requestIds = sharedState == null || upgradePeers == null ? null : createRequestIds();
     if (folder != null) {
       folder.restoreMaintenance(coordinator);
     }
@@ -336,14 +354,16 @@
     }
     RequestReader reader = new RequestReader(config.settings());
     if (sharedState != null && sharedState.othersRun()) {
-      pauseAcceptingUntilReady();
+      frontend.pauseAccepting(true);
     }
     pendingBinds.add(
         frontend.listen(
             group, config.listen(), platform.inheritedListener(), coordinator, reader, log));
     if (config.admin() != null) {
       operatorsEndpoint = createOperatorsEndpoint(folder);
-      pendingBinds.add(operatorsEndpoint.listen(group, config.admin(), channels));
+      ChannelFuture operatorsBind = operatorsEndpoint.listen(group, config.admin(), channels);
+      operatorsBind.addListener(bound -> joinOtherProcesses());
+      pendingBinds.add(operatorsBind);
     }
     discovery.watch(config.discovery());
     if (sharedState != null) {
@@ -363,6 +383,26 @@
     return pendingBinds;
   }
 
+  /** Creates the claims that keep request ids unique among the processes of the node. */
+  private RequestIdClaims createRequestIds() {
+    RequestIdClaims.OwnIds own =
+        new RequestIdClaims.OwnIds() {
+          @Override
+          public boolean contains(String id) {
+            return coordinator.hasUsedId(id);
+          }
+
+          @Override
+          public Collection<String> all() {
+            return coordinator.usedIds();
+          }
+        };
+    int maxForeignIds = FOREIGN_IDS_PER_REQUEST * requestLimits().requests();
+    RequestIdClaims claims = new RequestIdClaims(upgradePeers, own, timers, log, maxForeignIds);
+    coordinator.setRequestIds(claims);
+    return claims;
+  }
+
   /** Reads pending callbacks from workers and callbacks relayed by other processes of the node. */
   private void readCallbacks() {
     frontend.readPending();
@@ -394,11 +434,23 @@
     return state;
   }
 
-  /** Delays accepting clients until this process is ready, while a predecessor still serves. */
-  private void pauseAcceptingUntilReady() {
-    frontend.pauseAccepting(true);
-    coordinator.onReady(() -> frontend.pauseAccepting(false));
-    timers.after(MAX_ACCEPT_PAUSE_MILLIS, () -> frontend.pauseAccepting(false));
+  /**
+   * Joins the other processes of the node. While a predecessor serves, joins once this process is
+   * ready and only then accepts clients, after a maximum time in any case.
+   */
+  private void joinOtherProcesses() {
+    if (requestIds == null) {
+      return;
+    }
+    Runnable join = new CountDown(1, () -> requestIds.join(() -> frontend.pauseAccepting(false)));
+    if (!sharedState.othersRun()) {
+      join.run();
+    } else {
+      coordinator.onReady(join);
+      timers.after(MAX_ACCEPT_PAUSE_MILLIS, join);
+    }
+    timers.after(
+        MAX_ACCEPT_PAUSE_MILLIS + MAX_JOIN_WAIT_MILLIS, () -> frontend.pauseAccepting(false));
   }
 
   /** Switches to the discovery address that another process of the node has recorded. */
@@ -426,6 +478,7 @@
             coordinator,
             frontend,
             upgradePeers,
+            requestIds,
             classes,
             sharedState,
             arrivalClock,
--- a/node/src/test/java/ferngrade/server/AdminIntegrationTest.java
+++ b/node/src/test/java/ferngrade/server/AdminIntegrationTest.java
@@ -517,11 +517,13 @@
       try (Socket announcement = other.accept()) {
         GOLDEN.verifyLines("handover-address", RawBytes.read(announcement));
       }
-      try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), node.address().getPort())) {
+      // The other process acts as one of an earlier release, which does not know the call to join.
+      try (Socket calls = other.accept();
+          Socket caller = new Socket(InetAddress.getLoopbackAddress(), node.address().getPort())) {
+        GOLDEN.verifyLines("handover-join", RawBytes.read(calls));
+        RawBytes.write(calls, RawHttp.message("HTTP/1.1 404 Not Found", ""));
         RawBytes.write(caller, RawHttp.message("POST /_jobs/news HTTP/1.1", UNKNOWN_JOB_CALLBACK));
-        try (Socket relayed = other.accept()) {
-          GOLDEN.verifyLines("handover-call-back", RawBytes.read(relayed));
-        }
+        GOLDEN.verifyLines("handover-call-back", RawBytes.read(calls));
       }
       // The file is written on a separate thread; the test's timeout ends this loop on a failure.
       String own = "127.0.0.1:" + node.adminAddress().getPort();
--- a/node/src/test/java/ferngrade/server/SharedSocketFixture.java
+++ b/node/src/test/java/ferngrade/server/SharedSocketFixture.java
@@ -96,12 +96,18 @@
     }
     String[] address = adminAddress().split(":", 2);
     InetSocketAddress operators = new InetSocketAddress(address[0], Integer.parseInt(address[1]));
-    try (RawHttp operator = RawHttp.connect(operators)) {
-      awaitReadyStatus(operator, 200);
+    while (readyStatus(operators) != 200) {
+      Thread.onSpinWait();
     }
     return new ServingProcess(process, operators);
   }
 
+  private static int readyStatus(InetSocketAddress operators) throws IOException {
+    try (RawHttp operator = RawHttp.connect(operators)) {
+      return operator.write("GET /-/ready HTTP/1.1\r\n\r\n").read().status();
+    }
+  }
+
   /** Returns the operators' address of the newest process; empty before the first one has any. */
   private String adminAddress() throws IOException {
     Path file = stateFolder.resolve("ferngrade-admin.txt");
--- a/node/src/test/java/ferngrade/server/SystemCallFaultsTest.java
+++ b/node/src/test/java/ferngrade/server/SystemCallFaultsTest.java
@@ -12,6 +12,7 @@
 import ferngrade.transport.Errno;
 import ferngrade.transport.FaultInjectingChannels;
 import ferngrade.transport.FaultInjectingChannels.SystemCall;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -240,6 +241,7 @@
         RawHttp caller = startAfterPredecessor(other)) {
       other.setSoTimeout(5_000);
       other.accept().close();
+      rejectJoin(other);
       double faultEnds =
           fail(
               Purpose.HANDOVER,
@@ -258,6 +260,14 @@
     }
   }
 
+  /** Answers the call to join as a process of an earlier release, which does not know it. */
+  private static void rejectJoin(ServerSocket predecessor) throws IOException {
+    try (RawHttp caller = new RawHttp(predecessor.accept())) {
+      assertEquals(caller.read().startLine(), "POST /-/join HTTP/1.1");
+      caller.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    }
+  }
+
   /**
    * Starts the node on an inherited socket and connects to it. {@code predecessor} acts as the
    * operators' listener of a process that started earlier.
