Hold the loop in a shutdown test until its clock has moved

Cause: the test moves its clock once while the loop reads it twice, for a timer's delay and for its due time; between the two the timer is due later than the clock ever gets. Change: the loop waits at its line until the clock has moved; what is asserted is unchanged.

--- a/node/src/test/java/ferngrade/server/ShutdownTest.java
+++ b/node/src/test/java/ferngrade/server/ShutdownTest.java
@@ -329,12 +329,13 @@
     start(9000);
     AtomicReference<Thread> loop = new AtomicReference<>();
     LoopBlock stopping = blockLoopAt(STOPPING_LINE, () -> loop.set(Thread.currentThread()));
-    stopping.released.countDown();
     AtomicReference<Thread> exiting = new AtomicReference<>();
     CompletableFuture<Void> stopped =
         inBackground(() -> node.stopAndExit(() -> exiting.set(Thread.currentThread())));
     stopping.reached.await();
+    // The loop waits meanwhile, since it reads the clock twice for the delay of a timer.
     advance(4000);
+    stopping.released.countDown();
     awaitStopped(stopped);
     assertSame(exiting.get(), loop.get(), "the process was not ended by the event loop thread");
   }
