Hand over request ids when a successor ends before its predecessor

Callers would see: an id that a successor has served runs again at the predecessor, if the successor is ended first. Cause: only the newest process knows all ids, and they ended with it. Change: a process that ends sends its ids to the processes that claim theirs at it, at SIGTERM and again when it accepts no more jobs, so that they hold every id that it has sent. Tests: RequestIdProcessTest.idFinishedAtAnEndedSuccessorIsRejected, failed on (502 where 400 is owed), passes now; the class 4 of 4, ShutdownTest 17 of 17.

--- a/node/src/main/java/ferngrade/http/RequestIdClaims.java
+++ b/node/src/main/java/ferngrade/http/RequestIdClaims.java
@@ -203,6 +203,24 @@
   void joinedBy(InetSocketAddress other, Consumer<Boolean> answer) {
     peers.addAnnounced(other);
     roles.put(other, Role.DECIDES);
+    sendOwnIds(other, answer);
+  }
+
+  /**
+   * Sends the ids of this process to the processes that claim theirs here, since this one ends and
+   * they may outlive it.
+   */
+  public void handOver() {
+    Map.copyOf(roles)
+        .forEach(
+            (other, role) -> {
+              if (role == Role.CLAIMS_HERE) {
+                sendOwnIds(other, complete -> {});
+              }
+            });
+  }
+
+  private void sendOwnIds(InetSocketAddress other, Consumer<Boolean> answer) {
     List<String> ids = List.copyOf(own.all());
     List<String> bodies = new ArrayList<>();
     for (int i = 0; i < ids.size(); i += MAX_IDS_PER_CALL) {
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -631,6 +631,7 @@
    */
   private void stopAccepting() {
     coordinator.stopAccepting();
+    handOverIds();
     if (sharedState != null) {
       sharedState.recordFinishing();
     }
@@ -641,6 +642,13 @@
     if (platform.inheritedListener() != null) {
       peers.handOver();
     }
+    handOverIds();
+  }
+
+  private void handOverIds() {
+    if (requestIds != null) {
+      requestIds.handOver();
+    }
   }
 
   private void finishOperatorsCalls(Runnable done) {
--- a/node/src/test/java/ferngrade/server/RequestIdProcessTest.java
+++ b/node/src/test/java/ferngrade/server/RequestIdProcessTest.java
@@ -80,6 +80,25 @@
     }
   }
 
+  /**
+   * Guards against an id that has finished at a successor which is ended before its predecessor.
+   */
+  @Test
+  public void idFinishedAtAnEndedSuccessorIsRejected() throws Exception {
+    try (RawHttp first = startPredecessorWithClient()) {
+      startSuccessor();
+      try (RawHttp second = sendToSuccessor("e")) {
+        signal("CONT", predecessor);
+        assertEquals(statusAfterRetries("e"), 204);
+        assertEquals(second.read().body(), "soup");
+      }
+      signal("TERM", successor);
+      successor.handle().onExit().get(20, TimeUnit.SECONDS);
+      send(first, "e");
+      assertEquals(first.read().startLine(), BAD_REQUEST);
+    }
+  }
+
   /** Starts the predecessor and returns a trusted connection to it. */
   private RawHttp startPredecessorWithClient() throws Exception {
     startPlatform();
