Allocate composite heap buffers without leak detection

Cause: Netty samples one of 128 tracked buffers. Pooled buffers were all tracked, so the rehearsal met a sample; of heap buffers only composites are, so it may not, and the first sample in service loads the classes from the jar.

--- a/node/src/main/java/ferngrade/transport/HeapBufferAllocator.java
+++ b/node/src/main/java/ferngrade/transport/HeapBufferAllocator.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.AbstractByteBufAllocator;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.buffer.UnpooledHeapByteBuf;
 
@@ -44,6 +45,12 @@
     return UnpooledByteBufAllocator.DEFAULT.directBuffer(initialCapacity, maxCapacity);
   }
 
+  /** Returns a buffer without leak detection, which heap buffers do not need. */
+  @Override
+  public CompositeByteBuf compositeHeapBuffer(int maxComponents) {
+    return new CompositeByteBuf(this, false, maxComponents);
+  }
+
   /** Returns false, so that a channel writes heap buffers as they are and does not copy them. */
   @Override
   public boolean isDirectBufferPooled() {
