--- a/node/src/main/java/ferngrade/discovery/JsonObjectFramer.java
+++ b/node/src/main/java/ferngrade/discovery/JsonObjectFramer.java
@@ -10,7 +10,7 @@
  * a blank line within an object means that the rest of the object is missing.
  *
  * <p>Each byte is scanned once, on arrival, and incomplete objects are buffered on the heap. Only
- * this buffer grows with the list; the few direct buffers of the connection stay as small as for
+ * this buffer grows with the list; the few read buffers of the connection stay as small as for
  * any other response.
  */
 final class JsonObjectFramer {
--- a/node/src/main/java/ferngrade/http/RequestIdClaims.java
+++ b/node/src/main/java/ferngrade/http/RequestIdClaims.java
@@ -117,7 +117,7 @@
 
   /**
    * Joins the processes known so far. {@code done} runs once each of them has sent its ids, has
-   * ended, or has turned out to belong to an earlier release.
+   * ended, or is found to belong to an earlier release.
    */
   public void join(Runnable done) {
     joinStarted = true;
