--- a/node/src/main/java/ferngrade/discovery/JsonObjectFramer.java
+++ b/node/src/main/java/ferngrade/discovery/JsonObjectFramer.java
@@ -10,8 +10,8 @@
  * a blank line within an object means that the rest of the object is missing.
  *
  * <p>Each byte is scanned once, on arrival, and incomplete objects are buffered on the heap. Only
- * this buffer grows with the list; the few read buffers of the connection stay as small as for
- * any other response.
+ * this buffer grows with the list; the few read buffers of the connection stay as small as for any
+ * other response.
  */
 final class JsonObjectFramer {
   private static final int INITIAL_CAPACITY = 1024;
--- a/node/src/main/java/ferngrade/http/HttpFrontend.java
+++ b/node/src/main/java/ferngrade/http/HttpFrontend.java
@@ -39,7 +39,7 @@
 
   /**
    * The minimum size of the buffer for one read, in bytes. The next two constants are the initial
-   * and the maximum size.
+   * and the maximum size. The undecoded rest of a read keeps its whole buffer.
    */
   private static final int MIN_READ_BUFFER_BYTES = 64;
 
--- a/node/src/main/java/ferngrade/http/OperatorCalls.java
+++ b/node/src/main/java/ferngrade/http/OperatorCalls.java
@@ -35,7 +35,7 @@
    * The time after the start for which a process that has not answered the call to join keeps this
    * one from being ready, in ms. Until that process has ended, requests are then rejected.
    */
-  private static final double MAX_JOIN_WAIT_MILLIS = 2500;
+  private static final double MAX_READY_DELAY_MILLIS = 2500;
 
   private final RequestCoordinator coordinator;
   private final HttpFrontend frontend;
@@ -46,7 +46,7 @@
   private final Clock clock;
 
   /** The time from which the node may be ready without having joined, in ms on the clock. */
-  private final double joinWaitEnd;
+  private final double readyWithoutJoinAt;
 
   private final Timers timers;
   private final RateLimitedLog log;
@@ -89,7 +89,7 @@
     this.metrics = new MetricsPage(parts);
     this.arrivals = parts.arrivals();
     this.clock = clock;
-    this.joinWaitEnd = clock.now() + MAX_JOIN_WAIT_MILLIS;
+    this.readyWithoutJoinAt = clock.now() + MAX_READY_DELAY_MILLIS;
     this.timers = timers;
     this.log = log;
   }
@@ -104,7 +104,7 @@
     return coordinator.ready()
         && !frontend.draining()
         && (state == null || state.complete())
-        && (requestIds == null || requestIds.joined() || clock.now() > joinWaitEnd);
+        && (requestIds == null || requestIds.joined() || clock.now() > readyWithoutJoinAt);
   }
 
   /** Reads the changes made through other processes of the node before this call. */
--- a/node/src/main/java/ferngrade/http/PipelinedRequests.java
+++ b/node/src/main/java/ferngrade/http/PipelinedRequests.java
@@ -27,15 +27,12 @@
   }
 
   /**
-   * One entry of the queue. {@code request} is null unless the action is {@link Action#HANDLE}.
-   * {@code arrivedAt} is the earliest time at which the request may have arrived on this machine,
-   * in ms on the node's clock; the request's deadline counts from that time.
+   * One entry of the queue. {@code request} is null unless the action is {@link Action#HANDLE};
+   * {@code bytes} is the memory reserved for it, 0 if there is none. {@code arrivedAt} is the
+   * earliest time at which the request may have arrived on this machine, in ms on the node's clock;
+   * the request's deadline counts from that time.
    */
-  record Entry(Action action, FullHttpRequest request, double arrivedAt) {
-    private long bytes() {
-      return request == null ? 0 : RequestSize.of(request);
-    }
-  }
+  record Entry(Action action, FullHttpRequest request, long bytes, double arrivedAt) {}
 
   /** Creates an empty queue, whose requests take memory from {@code memory}. */
   PipelinedRequests(MemoryBudget memory) {
@@ -51,18 +48,18 @@
    * leaves the reference to the caller.
    */
   boolean add(FullHttpRequest request, double arrivedAt) {
+    long bytes = RequestSize.of(request);
     boolean accepted =
-        queued.size() < MAX_QUEUED
-            && memory.tryReserve(MemoryBudget.Use.QUEUED_REQUESTS, RequestSize.of(request));
+        queued.size() < MAX_QUEUED && memory.tryReserve(MemoryBudget.Use.QUEUED_REQUESTS, bytes);
     if (accepted) {
-      queued.add(new Entry(Action.HANDLE, request, arrivedAt));
+      queued.add(new Entry(Action.HANDLE, request, bytes, arrivedAt));
     }
     return accepted;
   }
 
   /** Queues a request whose body is too large. */
   void addTooLarge(double arrivedAt) {
-    queued.add(new Entry(Action.TOO_LARGE, null, arrivedAt));
+    queued.add(new Entry(Action.TOO_LARGE, null, 0, arrivedAt));
   }
 
   /** Queues a request that is rejected after all kept requests. */
@@ -80,7 +77,7 @@
       memory.release(MemoryBudget.Use.QUEUED_REQUESTS, first.bytes());
     } else if (rejected > 0) {
       rejected--;
-      return new Entry(Action.REJECT, null, 0);
+      return new Entry(Action.REJECT, null, 0, 0);
     }
     return first;
   }
--- a/node/src/main/java/ferngrade/http/RequestBytesReader.java
+++ b/node/src/main/java/ferngrade/http/RequestBytesReader.java
@@ -120,7 +120,9 @@
     return arrivedAt;
   }
 
-  /** Stops decoding, and releases the undecoded bytes after the connection has ended. */
+  /**
+   * Stops decoding, also of the bytes that have already been read, after the connection has ended.
+   */
   void endDecoding() {
     decodingEnded = true;
     undecoded.release();
--- a/node/src/main/java/ferngrade/http/RequestIdClaims.java
+++ b/node/src/main/java/ferngrade/http/RequestIdClaims.java
@@ -1,13 +1,13 @@
 package ferngrade.http;
 
 import ferngrade.node.RateLimitedLog;
+import ferngrade.node.RequestCoordinator;
 import ferngrade.node.RequestIds;
 import ferngrade.node.Timers;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -52,7 +52,7 @@
   private static final int IN_USE = HttpResponseStatus.CONFLICT.code();
 
   private final UpgradePeers peers;
-  private final OwnIds own;
+  private final RequestCoordinator coordinator;
   private final Timers timers;
   private final RateLimitedLog log;
   private final int maxForeignIds;
@@ -68,15 +68,6 @@
   /** Tasks that wait until every join has ended. */
   private final List<Runnable> whenJoined = new ArrayList<>();
 
-  /** The ids of the requests of this process. */
-  public interface OwnIds {
-    /** Returns true if a request with this id waits for a claim, is open or has finished here. */
-    boolean contains(String id);
-
-    /** Returns all these ids. */
-    Collection<String> all();
-  }
-
   /** What another process is to this one. */
   private enum Role {
     /** This process waits for the ids of the other one. */
@@ -91,9 +82,13 @@
 
   /** Creates claims that remember up to {@code maxForeignIds} ids of other processes. */
   public RequestIdClaims(
-      UpgradePeers peers, OwnIds own, Timers timers, RateLimitedLog log, int maxForeignIds) {
+      UpgradePeers peers,
+      RequestCoordinator coordinator,
+      Timers timers,
+      RateLimitedLog log,
+      int maxForeignIds) {
     this.peers = peers;
-    this.own = own;
+    this.coordinator = coordinator;
     this.timers = timers;
     this.log = log;
     this.maxForeignIds = maxForeignIds;
@@ -221,7 +216,7 @@
   }
 
   private void sendOwnIds(InetSocketAddress other, Consumer<Boolean> answer) {
-    List<String> ids = List.copyOf(own.all());
+    List<String> ids = coordinator.usedIds();
     List<String> bodies = new ArrayList<>();
     for (int i = 0; i < ids.size(); i += MAX_IDS_PER_CALL) {
       bodies.add(String.join("\n", ids.subList(i, Math.min(ids.size(), i + MAX_IDS_PER_CALL))));
@@ -267,7 +262,7 @@
 
   /** Handles the claim of another process. Returns false if the id is in use. */
   boolean claimedBy(InetSocketAddress owner, String id) {
-    boolean free = !own.contains(id) && foreign.getOrDefault(id, owner).equals(owner);
+    boolean free = !coordinator.hasUsedId(id) && foreign.getOrDefault(id, owner).equals(owner);
     if (free) {
       remember(id, owner);
     }
@@ -284,9 +279,9 @@
     roles.keySet().removeIf(other -> !peers.contains(other));
     if (roles.values().stream().allMatch(role -> role == Role.CLAIMS_HERE)) {
       outcome.accept(Claim.GRANTED);
-      return;
+    } else {
+      new ClaimRound(id, outcome).start();
     }
-    new ClaimRound(id, outcome).start();
   }
 
   /** Collects the answers of the processes that have to be asked for one id. */
--- a/node/src/main/java/ferngrade/node/MemoryBudget.java
+++ b/node/src/main/java/ferngrade/node/MemoryBudget.java
@@ -128,6 +128,9 @@
 
     /** Changes the size, and frees memory of this or of other holders if the limit is exceeded. */
     public void resize(long changed) {
+      if (changed == bytes) {
+        return;
+      }
       boolean grows = changed > bytes;
       add(use, changed - bytes);
       bytes = changed;
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -42,7 +42,6 @@
 import java.nio.channels.spi.SelectorProvider;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
@@ -63,7 +62,10 @@
   /** The Retry-After value of a rejection for lack of capacity, in ms. */
   private static final double OVERLOAD_RETRY_AFTER_MILLIS = 1000;
 
-  /** The maximum number of open requests per MB of the memory limit. */
+  /**
+   * The maximum number of open requests per MB of the memory limit. {@link MemoryBudget} bounds the
+   * memory that they take.
+   */
   private static final int REQUESTS_PER_MB = 16;
 
   /**
@@ -72,18 +74,6 @@
    */
   private static final int FOREIGN_IDS_PER_REQUEST = 4;
 
-  /**
-   * The maximum time for which a starting process leaves new connections to its predecessor until
-   * it is ready, in ms.
-   */
-  private static final double MAX_ACCEPT_PAUSE_MILLIS = 500;
-
-  /**
-   * The maximum time for which a starting process leaves new connections to a predecessor that does
-   * not answer its call to join, in ms.
-   */
-  private static final double MAX_JOIN_WAIT_MILLIS = 500;
-
   /**
    * The interval at which a process reads the state shared by the other processes of the node, in
    * ms.
@@ -353,8 +343,12 @@
       pendingBinds.add(peers.listen(group, config.peerListen(), coordinator::peerMessageReceived));
     }
     RequestReader reader = new RequestReader(config.settings());
-    if (sharedState != null && sharedState.othersRun()) {
-      frontend.pauseAccepting(true);
+    ProcessJoin processJoin =
+        requestIds == null
+            ? null
+            : new ProcessJoin(requestIds, sharedState, frontend, coordinator, timers);
+    if (processJoin != null) {
+      processJoin.pauseAccepting();
     }
     pendingBinds.add(
         frontend.listen(
@@ -362,7 +356,9 @@
     if (config.admin() != null) {
       operatorsEndpoint = createOperatorsEndpoint(folder);
       ChannelFuture operatorsBind = operatorsEndpoint.listen(group, config.admin(), channels);
-      operatorsBind.addListener(bound -> joinOtherProcesses());
+      if (processJoin != null) {
+        operatorsBind.addListener(bound -> processJoin.start());
+      }
       pendingBinds.add(operatorsBind);
     }
     discovery.watch(config.discovery());
@@ -385,20 +381,9 @@
 
   /** Creates the claims that keep request ids unique among the processes of the node. */
   private RequestIdClaims createRequestIds() {
-    RequestIdClaims.OwnIds own =
-        new RequestIdClaims.OwnIds() {
-          @Override
-          public boolean contains(String id) {
-            return coordinator.hasUsedId(id);
-          }
-
-          @Override
-          public Collection<String> all() {
-            return coordinator.usedIds();
-          }
-        };
     int maxForeignIds = FOREIGN_IDS_PER_REQUEST * requestLimits().requests();
-    RequestIdClaims claims = new RequestIdClaims(upgradePeers, own, timers, log, maxForeignIds);
+    RequestIdClaims claims =
+        new RequestIdClaims(upgradePeers, coordinator, timers, log, maxForeignIds);
     coordinator.setRequestIds(claims);
     return claims;
   }
@@ -434,25 +419,6 @@
     return state;
   }
 
-  /**
-   * Joins the other processes of the node. While a predecessor serves, joins once this process is
-   * ready and only then accepts clients, after a maximum time in any case.
-   */
-  private void joinOtherProcesses() {
-    if (requestIds == null) {
-      return;
-    }
-    Runnable join = new CountDown(1, () -> requestIds.join(() -> frontend.pauseAccepting(false)));
-    if (!sharedState.othersRun()) {
-      join.run();
-    } else {
-      coordinator.onReady(join);
-      timers.after(MAX_ACCEPT_PAUSE_MILLIS, join);
-    }
-    timers.after(
-        MAX_ACCEPT_PAUSE_MILLIS + MAX_JOIN_WAIT_MILLIS, () -> frontend.pauseAccepting(false));
-  }
-
   /** Switches to the discovery address that another process of the node has recorded. */
   private void discoveryMoved(DiscoveryRecord move) {
     if (move.former().equals(discovery.address())) {
--- a/node/src/test/java/ferngrade/server/BlockedLoopFixture.java
+++ b/node/src/test/java/ferngrade/server/BlockedLoopFixture.java
@@ -16,7 +16,9 @@
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.Collectors;
 import org.testng.annotations.AfterMethod;
 
 /**
@@ -123,6 +125,18 @@
     return RawHttp.message(jobHead("POST /api", id, "order"), "");
   }
 
+  /** Returns the node's metrics whose names begin with {@code prefix}, by name. */
+  Map<String, Long> metrics(String prefix) throws IOException {
+    RawHttp operator = connect(node.adminAddress(), "GET /-/metrics HTTP/1.1\r\n\r\n");
+    return operator
+        .read()
+        .body()
+        .lines()
+        .filter(line -> line.startsWith(prefix))
+        .map(line -> line.split("=", 2))
+        .collect(Collectors.toMap(line -> line[0], line -> Long.valueOf(line[1])));
+  }
+
   /** Returns the status of the next answer, or how the connection ended without one. */
   static String outcome(RawHttp connection) throws IOException {
     try {
--- a/node/src/test/java/ferngrade/server/PeerMemoryTest.java
+++ b/node/src/test/java/ferngrade/server/PeerMemoryTest.java
@@ -11,8 +11,6 @@
 import java.lang.management.ManagementFactory;
 import java.lang.reflect.Proxy;
 import java.util.Map;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -51,7 +49,7 @@
     start(1024, 16);
     connect(CONNECTIONS, node.address(), held);
     awaitSettled();
-    Map<String, Long> memory = peerMemory();
+    Map<String, Long> memory = metrics("peer_memory.");
     long limit = memory.remove("peer_memory.limit");
     long sum = memory.values().stream().mapToLong(Long::longValue).sum();
     assertTrue(sum <= limit, memory + " exceed " + limit);
@@ -82,14 +80,6 @@
                     : method.invoke(rejecting, arguments));
   }
 
-  private Map<String, Long> peerMemory() throws Exception {
-    RawHttp operator = connect(node.adminAddress(), "GET /-/metrics HTTP/1.1\r\n\r\n");
-    return Stream.of(operator.read().body().split("\n", -1))
-        .filter(line -> line.startsWith("peer_memory."))
-        .map(line -> line.split("=", 2))
-        .collect(Collectors.toMap(line -> line[0], line -> Long.valueOf(line[1])));
-  }
-
   private static long directMemory() {
     return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
         .filter(pool -> pool.getName().equals("direct"))
--- a/node/src/test/java/ferngrade/server/PipelinedFloodTest.java
+++ b/node/src/test/java/ferngrade/server/PipelinedFloodTest.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -94,10 +93,6 @@
   }
 
   private long turns() throws IOException {
-    RawHttp operator = connect(node.adminAddress(), "GET /-/metrics HTTP/1.1\r\n\r\n");
-    return Stream.of(operator.read().body().split("\n", -1))
-        .filter(line -> line.startsWith("loop_turn.le_"))
-        .mapToLong(line -> Long.parseLong(line.substring(line.indexOf('=') + 1)))
-        .sum();
+    return metrics("loop_turn.le_").values().stream().mapToLong(Long::longValue).sum();
   }
 }
--- a/node/src/test/java/ferngrade/server/RequestIdProcessTest.java
+++ b/node/src/test/java/ferngrade/server/RequestIdProcessTest.java
@@ -7,11 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
-/**
- * Guards against a request id that two processes of a node send to workers during an upgrade, and
- * against a client that gets the result of another one. Suspending a process forces which of the
- * two accepts a connection.
- */
+/** Guards against a request id that two processes of a node send to workers. */
 @Test(timeOut = 60_000)
 public class RequestIdProcessTest extends SharedSocketFixture {
   private static final String BAD_REQUEST = "HTTP/1.1 400 Bad Request";
