Close listeners before their event loop group ends, so that addresses are free

MemberConnectionsTest.deliversMessagesToTheSuccessorProcessOfAMember failed at times with 'Address already in use': a group that is ended with a quiet period of 0 closes its channels only in a further turn of its loop. A loop that runs tasks when the request arrives may end without one, and the listener stays open.

OpenChannels holds the channels of a group, closes them on the event loop, ends the group when all are closed, and waits as long as before. Used where an address has to be free afterwards: - MemberConnections.close: the listener and all connections. - Membership.close: the gossip socket. - NodeServer, when a start fails: the retry binds the same addresses. Left as they are: NodeServer.stop (the graceful shutdown closes both listeners first, on the event loop; the peers' datagram socket may outlive it in tests, and its address can be bound again because it is shared with SO_REUSEADDR), and the emulator's and the fault tests' groups (their sockets use free ports and are not bound again after the end).

The close of Membership has no test of its own; it makes the same call as MemberConnections.

--- a/fleet/src/main/java/ferngrade/fleet/MemberConnections.java
+++ b/fleet/src/main/java/ferngrade/fleet/MemberConnections.java
@@ -1,6 +1,7 @@
 package ferngrade.fleet;
 
 import ferngrade.membership.MessageAuthenticator;
+import ferngrade.transport.OpenChannels;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -41,9 +42,11 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final long FIRST_RETRY_MILLIS = 50;
   private static final long MAX_RETRY_MILLIS = 400;
+  private static final long MAX_SHUTDOWN_MILLIS = 1_000;
+  private static final long MAX_CLOSE_MILLIS = 2_000;
 
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup group;
+  private final OpenChannels openChannels = new OpenChannels();
   private final byte[] member;
   private final MessageAuthenticator authenticator;
   private final Receiver receiver;
@@ -66,6 +69,22 @@
       String member,
       Map<String, InetSocketAddress> others,
       Receiver receiver) {
+    this(
+        authenticator,
+        member,
+        others,
+        receiver,
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()));
+  }
+
+  /** Creates the connections on an event loop group with one thread, which they end. */
+  MemberConnections(
+      MessageAuthenticator authenticator,
+      String member,
+      Map<String, InetSocketAddress> others,
+      Receiver receiver,
+      EventLoopGroup group) {
+    this.group = group;
     this.authenticator = authenticator;
     this.member = member.getBytes(StandardCharsets.UTF_8);
     this.receiver = receiver;
@@ -86,6 +105,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
+                    openChannels.add(channel);
                     channel
                         .pipeline()
                         .addLast(
@@ -97,6 +117,7 @@
             .bind(address)
             .sync()
             .channel();
+    openChannels.add(listener);
     outbound.values().forEach(OutboundConnection::connect);
     return (InetSocketAddress) listener.localAddress();
   }
@@ -120,9 +141,10 @@
         .array();
   }
 
+  /** Closes all connections; the address that {@link #start} has bound is free afterwards. */
   @Override
   public void close() {
-    group.shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS).awaitUninterruptibly(2_000);
+    openChannels.closeAndEnd(group, MAX_SHUTDOWN_MILLIS, MAX_CLOSE_MILLIS);
   }
 
   /** A connection to another member; reconnects with backoff when it closes. */
@@ -159,6 +181,7 @@
               new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel opened) {
+                  openChannels.add(opened);
                   opened
                       .pipeline()
                       .addLast(
--- a/fleet/src/main/java/ferngrade/fleet/Membership.java
+++ b/fleet/src/main/java/ferngrade/fleet/Membership.java
@@ -10,6 +10,7 @@
 import ferngrade.membership.SwimProtocol;
 import ferngrade.node.Clock;
 import ferngrade.node.Timers;
+import ferngrade.transport.OpenChannels;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -28,7 +29,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -37,6 +37,9 @@
  * thread, which passes received datagrams to the member's thread.
  */
 final class Membership implements AutoCloseable {
+  private static final long MAX_SHUTDOWN_MILLIS = 1_000;
+  private static final long MAX_CLOSE_MILLIS = 2_000;
+
   private final Map<String, InetSocketAddress> gossipAddresses = new HashMap<>();
   private final Codec codec = new Codec(Message.CLASSES);
   private final Timers timers;
@@ -47,6 +50,7 @@
   private final SwimProtocol swim;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final OpenChannels openChannels = new OpenChannels();
   private final Channel channel;
   private long rejected;
   private Timers.Timer timer;
@@ -89,6 +93,7 @@
               .bind(file.member(name).gossip())
               .sync()
               .channel();
+      openChannels.add(channel);
     } catch (RuntimeException failure) {
       close();
       throw failure;
@@ -160,9 +165,10 @@
     swim.leave(clock.now());
   }
 
+  /** Closes the socket; the gossip address is free afterwards. */
   @Override
   public void close() {
-    group.shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS).awaitUninterruptibly(2_000);
+    openChannels.closeAndEnd(group, MAX_SHUTDOWN_MILLIS, MAX_CLOSE_MILLIS);
   }
 
   /** Handles a datagram on the member's thread. */
--- a/fleet/src/test/java/ferngrade/fleet/MemberConnectionsTest.java
+++ b/fleet/src/test/java/ferngrade/fleet/MemberConnectionsTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import ferngrade.membership.MessageAuthenticator;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -15,8 +18,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -24,6 +29,9 @@
 class MemberConnectionsTest {
   private static final String KEY = "a key of the fleet's own";
 
+  /** The maximum time for which a test holds an event loop while a close begins. */
+  private static final long MAX_HOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
   private final List<MemberConnections> openConnections = new ArrayList<>();
   private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
 
@@ -34,13 +42,24 @@
 
   private MemberConnections connections(
       String name, String key, long run, Map<String, InetSocketAddress> others) {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    return connections(name, key, run, others, group);
+  }
+
+  private MemberConnections connections(
+      String name,
+      String key,
+      long run,
+      Map<String, InetSocketAddress> others,
+      EventLoopGroup group) {
     MemberConnections connections =
         new MemberConnections(
             new MessageAuthenticator("f", List.of(key.getBytes(StandardCharsets.UTF_8)), run),
             name,
             others,
             (from, message) ->
-                received.add(from + " " + new String(message, StandardCharsets.UTF_8)));
+                received.add(from + " " + new String(message, StandardCharsets.UTF_8)),
+            group);
     openConnections.add(connections);
     return connections;
   }
@@ -83,6 +102,38 @@
     assertEquals("a again", sendUntilReceived(a, "b", "again"));
   }
 
+  /**
+   * Holds the loop in a task until its group begins to end. A group that is ended before its
+   * channels are closed then ends without another turn of the loop.
+   */
+  private static void holdLoop(EventLoopGroup group) throws InterruptedException {
+    CountDownLatch held = new CountDownLatch(1);
+    group.execute(
+        () -> {
+          held.countDown();
+          long startNanos = System.nanoTime();
+          while (!group.isShuttingDown() && System.nanoTime() - startNanos < MAX_HOLD_NANOS) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+          }
+        });
+    held.await();
+  }
+
+  @Test
+  void closesListenerAndConnectionsWhileATaskHoldsTheLoop() throws Exception {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    MemberConnections b = connections("b", KEY, 2, Map.of("a", unusedAddress()), group);
+    InetSocketAddress address = b.start(freeAddress());
+    MemberConnections a = connections("a", KEY, 1, Map.of("b", address));
+    a.start(freeAddress());
+    assertEquals("a hello", sendUntilReceived(a, "b", "hello"));
+    holdLoop(group);
+    b.close();
+    received.clear();
+    connections("b", KEY, 3, Map.of("a", unusedAddress())).start(address);
+    assertEquals("a again", sendUntilReceived(a, "b", "again"));
+  }
+
   @Test
   void ignoresSendersWithoutKeyOrMemberNameAndClosesConnectionAfterInvalidFrame() throws Exception {
     MemberConnections b = connections("b", KEY, 2, Map.of("a", unusedAddress()));
--- a/node/src/main/java/ferngrade/server/NodeServer.java
+++ b/node/src/main/java/ferngrade/server/NodeServer.java
@@ -32,6 +32,7 @@
 import ferngrade.peer.UdpPeers;
 import ferngrade.transport.ChannelProvider;
 import ferngrade.transport.FaultOrigin;
+import ferngrade.transport.OpenChannels;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -89,6 +90,10 @@
   private final ArrivalClock arrivalClock;
   private final EventLoopGroup group;
   private final EventLoop loop;
+
+  /** The channels that hold an address of this node. */
+  private final OpenChannels boundChannels = new OpenChannels();
+
   private final Timers timers;
   private final LoopMonitor loopMonitor;
   private final PauseDetector pauseDetector;
@@ -297,10 +302,8 @@
               + (config.admin() != null ? "; operators' calls at " + server.adminAddress() : ""));
       return server;
     } catch (Exception failed) {
-      server
-          .group
-          .shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
-          .await(MAX_START_RETRIES * START_BACKOFF_MILLIS);
+      // The next attempt binds the same addresses.
+      server.boundChannels.closeAndEnd(server.group, 0, MAX_START_RETRIES * START_BACKOFF_MILLIS);
       throw failed;
     }
   }
@@ -340,7 +343,9 @@
     }
     List<ChannelFuture> pendingBinds = new ArrayList<>();
     if (config.peerListen() != null) {
-      pendingBinds.add(peers.listen(group, config.peerListen(), coordinator::peerMessageReceived));
+      pendingBinds.add(
+          boundChannels.addWhenBound(
+              peers.listen(group, config.peerListen(), coordinator::peerMessageReceived)));
     }
     RequestReader reader = new RequestReader(config.settings());
     ProcessJoin processJoin =
@@ -351,15 +356,16 @@
       processJoin.pauseAccepting();
     }
     pendingBinds.add(
-        frontend.listen(
-            group, config.listen(), platform.inheritedListener(), coordinator, reader, log));
+        boundChannels.addWhenBound(
+            frontend.listen(
+                group, config.listen(), platform.inheritedListener(), coordinator, reader, log)));
     if (config.admin() != null) {
       operatorsEndpoint = createOperatorsEndpoint(folder);
       ChannelFuture operatorsBind = operatorsEndpoint.listen(group, config.admin(), channels);
       if (processJoin != null) {
         operatorsBind.addListener(bound -> processJoin.start());
       }
-      pendingBinds.add(operatorsBind);
+      pendingBinds.add(boundChannels.addWhenBound(operatorsBind));
     }
     discovery.watch(config.discovery());
     if (sharedState != null) {
